--- /dev/null
+++ b/packages/agent/src/agent.ts
@@ -0,0 +1,167 @@
+import { randomUUID } from 'node:crypto';
+import type { EventLog } from '@marjorampin/logging';
+import {
+  ENDPOINT_PREFIX,
+  type KeyValueStore,
+  swapDurably,
+  type TokenedValue,
+} from '@marjorampin/platform';
+import { PeerPool, PeerServer, type TlsFiles } from '@marjorampin/protocol';
+import {
+  type Clock,
+  type Endpoint,
+  type EndpointState,
+  type PeerAddress,
+  type Service,
+} from '@marjorampin/types';
+import { AgentHandler } from './agentHandler';
+import { HttpModelEndpoint } from './httpModelEndpoint';
+import { HttpPlainEndpoint } from './httpPlainEndpoint';
+import type { EndpointLoad } from './modelEndpoint';
+
+/** Time between two load reports to the entries in contact. */
+const REPORT_INTERVAL_MS = 200;
+
+/** Time for entries to take a leaving endpoint out before the last calls are counted. */
+const LEAVING_GRACE_MS = 500;
+
+const REGISTRATION_PAUSE_MS = 250;
+const DRAIN_POLL_MS = 20;
+
+/** What an agent needs. */
+export interface AgentOptions {
+  id: string;
+  service: Pick<Service, 'name' | 'kind'>;
+  /** URL of the endpoint. */
+  endpointUrl: string;
+  address: PeerAddress;
+  domain: string;
+  store: KeyValueStore;
+  clock: Clock;
+  log: EventLog;
+  tls?: TlsFiles | undefined;
+}
+
+/** The process beside one endpoint, and the only way to it. */
+export class Agent {
+  readonly incarnation = randomUUID();
+
+  private readonly options: AgentOptions;
+
+  private readonly handler: AgentHandler;
+
+  private readonly server: PeerServer;
+
+  private readonly peers: PeerPool;
+
+  private readonly stopped = new AbortController();
+
+  private address = '';
+
+  private state: EndpointState = 'live';
+
+  constructor(options: AgentOptions) {
+    this.options = options;
+    const { id, service, endpointUrl: url, clock, log, tls } = options;
+    const adapter =
+      service.kind === 'model' ? new HttpModelEndpoint({ url }) : new HttpPlainEndpoint({ url });
+    this.handler = new AgentHandler({
+      endpoint: id,
+      incarnation: this.incarnation,
+      adapter,
+      log,
+      sendContext: (address, exported) => this.sendContext(address, exported),
+    });
+    this.server = new PeerServer({
+      address: options.address,
+      handler: this.handler,
+      clock,
+      ...(tls ? { tls } : {}),
+    });
+    this.peers = new PeerPool({ handler: this.handler, clock, tls });
+    if (adapter instanceof HttpModelEndpoint) this.reportLoad(() => adapter.load());
+    else {
+      this.reportLoad(async () => ({ running: this.handler.running, queued: 0, cachedTokens: 0 }));
+    }
+  }
+
+  /** Starts to listen and registers the endpoint. */
+  async start(): Promise<PeerAddress> {
+    const bound = await this.server.listen();
+    this.address = `${bound.host}:${bound.port}`;
+    await this.register();
+    this.options.log.write('processStarted', { role: 'agent', id: this.options.id });
+    return bound;
+  }
+
+  /** Planned stop: no new work, work in progress finishes, then the process ends. */
+  async stop(): Promise<void> {
+    const { log, id, clock } = this.options;
+    log.write('processStopping', { role: 'agent', id });
+    this.state = 'leaving';
+    this.handler.isLeaving = true;
+    this.sendReport({ running: this.handler.running, queued: 0, cachedTokens: 0 });
+    await this.tryRegister();
+    await clock.sleep(LEAVING_GRACE_MS);
+    while (this.handler.running > 0) await clock.sleep(DRAIN_POLL_MS);
+    await this.kill();
+    log.write('processStopped', { role: 'agent', id });
+  }
+
+  /** Ends at once, as a crash would. */
+  async kill(): Promise<void> {
+    this.stopped.abort();
+    this.peers.close();
+    await this.server.close();
+  }
+
+  private async register(): Promise<void> {
+    while (!this.stopped.signal.aborted && !(await this.tryRegister())) {
+      await this.options.clock.sleep(REGISTRATION_PAUSE_MS);
+    }
+  }
+
+  private async tryRegister(): Promise<boolean> {
+    const { id, service, domain, store, log } = this.options;
+    const endpoint: Endpoint = {
+      id,
+      service: service.name,
+      agentAddress: this.address,
+      incarnation: this.incarnation,
+      domain,
+      state: this.state,
+    };
+    const key = `${ENDPOINT_PREFIX}${id}`;
+    const read = await store.get(key);
+    if (read.err) {
+      log.write('storeUnavailable', { reason: read.val.message });
+      return false;
+    }
+    const expectedVersion = read.val?.version ?? 0;
+    const swap = await swapDurably<Endpoint & TokenedValue>(store, {
+      key,
+      value: endpoint,
+      expectedVersion,
+    });
+    return swap.ok;
+  }
+
+  private async reportLoad(read: () => Promise<EndpointLoad>): Promise<void> {
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      const load = await read().catch(() => undefined);
+      if (load) this.sendReport(load);
+      await this.options.clock.sleep(REPORT_INTERVAL_MS, signal).catch(() => undefined);
+    }
+  }
+
+  private sendReport({ running, queued, cachedTokens }: EndpointLoad): void {
+    const leaving = this.state === 'leaving';
+    const report = { endpoint: this.options.id, leaving, running, queued, cachedTokens };
+    [...this.server.connected].forEach((channel) => channel.report(report));
+  }
+
+  private async sendContext(address: string, exported: string): Promise<void> {
+    await this.peers.get(address).call({ case: 'importContext', value: { exported } });
+  }
+}
--- /dev/null
+++ b/packages/agent/src/httpModelEndpoint.ts
@@ -0,0 +1,104 @@
+import { Agent, request } from 'undici';
+import { CallError } from '@marjorampin/types';
+import {
+  type EndpointLoad,
+  ModelEndpoint,
+  type ModelOutcome,
+  type ModelRequest,
+} from './modelEndpoint';
+
+const CONTROL_TIMEOUT_MS = 2_000;
+
+type EngineEvent = { text: string } | { result: ModelOutcome | null };
+
+/** A model engine over HTTP with server-sent events. */
+export class HttpModelEndpoint extends ModelEndpoint {
+  private readonly url: string;
+
+  private readonly dispatcher = new Agent({ connections: 256, bodyTimeout: 0, headersTimeout: 0 });
+
+  constructor({ url }: { url: string }) {
+    super();
+    this.url = url.replace(/\/$/, '');
+  }
+
+  override async generate(
+    call: ModelRequest,
+    onText: (text: string) => void,
+    signal: AbortSignal,
+  ): Promise<ModelOutcome> {
+    const response = await request(`${this.url}/generate`, {
+      method: 'POST',
+      dispatcher: this.dispatcher,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(call),
+      signal,
+    });
+    if (response.statusCode !== 200) {
+      await response.body.dump();
+      throw this.failed(`status ${response.statusCode}`);
+    }
+    let outcome: ModelOutcome | null | undefined;
+    for await (const event of parseEvents(response.body)) {
+      if ('result' in event) outcome = event.result;
+      else onText(event.text);
+    }
+    if (!outcome) throw this.failed('the stream ended early');
+    return outcome;
+  }
+
+  override async release(program: string): Promise<void> {
+    await this.post('/release', JSON.stringify({ program }));
+  }
+
+  override async load(): Promise<EndpointLoad> {
+    return JSON.parse(await this.fetchText('GET', '/load')) as EndpointLoad;
+  }
+
+  override async exportContext(program: string): Promise<string> {
+    return this.post('/export', JSON.stringify({ program }));
+  }
+
+  override async importContext(exported: string): Promise<void> {
+    await this.post('/import', exported);
+  }
+
+  override async heldPrograms(): Promise<string[]> {
+    return JSON.parse(await this.fetchText('GET', '/held')) as string[];
+  }
+
+  private post(path: string, body: string): Promise<string> {
+    return this.fetchText('POST', path, body);
+  }
+
+  private async fetchText(method: 'GET' | 'POST', path: string, body?: string): Promise<string> {
+    const response = await request(`${this.url}${path}`, {
+      method,
+      dispatcher: this.dispatcher,
+      headers: { 'content-type': 'application/json' },
+      body: body ?? null,
+      signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+    });
+    const text = await response.body.text();
+    if (response.statusCode >= 400) throw this.failed(`status ${response.statusCode} on ${path}`);
+    return text;
+  }
+
+  private failed(reason: string): CallError {
+    const message = `engine at ${this.url} failed: ${reason}; the call may be repeated elsewhere`;
+    return new CallError({ kind: 'endpoint-failed', message, execution: 'unknown' });
+  }
+}
+
+async function* parseEvents(chunks: AsyncIterable<Buffer>): AsyncIterable<EngineEvent> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const chunk of chunks) {
+    rest += decoder.decode(chunk, { stream: true });
+    const events = rest.split('\n\n');
+    rest = events.pop() ?? '';
+    for (const event of events) {
+      yield JSON.parse(event.slice('data: '.length)) as EngineEvent;
+    }
+  }
+}
--- /dev/null
+++ b/packages/agent/src/httpPlainEndpoint.ts
@@ -0,0 +1,43 @@
+import { Agent, request } from 'undici';
+import { CallError } from '@marjorampin/types';
+import { PlainEndpoint, type PlainOutcome, type PlainRequest } from './plainEndpoint';
+
+/** Failures to connect, after which the request can't have reached the service. */
+const NEVER_CONNECTED = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'];
+
+/** A plain service over HTTP. */
+export class HttpPlainEndpoint extends PlainEndpoint {
+  private readonly url: string;
+
+  private readonly dispatcher = new Agent({ connections: 256, bodyTimeout: 0, headersTimeout: 0 });
+
+  constructor({ url }: { url: string }) {
+    super();
+    this.url = url.replace(/\/$/, '');
+  }
+
+  override async execute(call: PlainRequest, signal: AbortSignal): Promise<PlainOutcome> {
+    try {
+      const response = await request(
+        `${this.url}/operations/${encodeURIComponent(call.operation)}`,
+        {
+          method: 'POST',
+          dispatcher: this.dispatcher,
+          headers: { 'content-type': 'application/json', 'idempotency-key': call.key },
+          body: call.body,
+          signal,
+        },
+      );
+      return { status: response.statusCode, body: await response.body.text() };
+    } catch (error) {
+      throw this.failed(error);
+    }
+  }
+
+  private failed(error: unknown): CallError {
+    const { code = '', message: reason = '' } = error as { code?: string; message?: string };
+    const execution = NEVER_CONNECTED.includes(code) ? 'not-run' : 'unknown';
+    const message = `service at ${this.url} failed: ${reason || code}; check the service`;
+    return new CallError({ kind: 'endpoint-failed', message, execution, retryAfterMs: 1_000 });
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/processes.ts
@@ -0,0 +1,64 @@
+import { Agent } from '@marjorampin/agent';
+import { Entry } from '@marjorampin/entry';
+import { BunyanEventLog } from '@marjorampin/logging';
+import { Metrics } from '@marjorampin/metrics';
+import { HttpKeyValueStore } from '@marjorampin/platform';
+import { agentSettingsSchema, entrySettingsSchema, readToml } from '@marjorampin/settings';
+import { parsePeerAddress, type PeerAddress, SystemClock } from '@marjorampin/types';
+import { requireOption } from './requireOption';
+import { untilStopped } from './untilStopped';
+
+interface ProcessOptions {
+  settings?: string;
+}
+
+/** Runs an entry until a signal, then stops it gracefully. */
+export async function runEntry({ settings: file }: ProcessOptions): Promise<void> {
+  const settings = readToml(requireOption(file, 'settings'), entrySettingsSchema);
+  if (settings.err) throw settings.val;
+  const { id, domain, platform, tls, entry: own } = settings.val;
+  const entry = new Entry({
+    id,
+    domain,
+    callerAddress: addressOf(own.callerAddress),
+    peerAddress: addressOf(own.peerAddress),
+    store: new HttpKeyValueStore(platform),
+    clock: new SystemClock(),
+    log: new BunyanEventLog({ process: id }),
+    metrics: new Metrics(),
+    operatorKeyDigests: own.operatorKeyDigests,
+    dataFolder: own.dataFolder,
+    peerTls: tls.peers,
+    callerTls: tls.callers,
+  });
+  await entry.start();
+  await untilStopped();
+  await entry.stop();
+  process.exit();
+}
+
+/** Runs an agent until a signal, then stops it gracefully. */
+export async function runAgent({ settings: file }: ProcessOptions): Promise<void> {
+  const settings = readToml(requireOption(file, 'settings'), agentSettingsSchema);
+  if (settings.err) throw settings.val;
+  const { id, domain, platform, tls, agent: own } = settings.val;
+  const agent = new Agent({
+    id,
+    domain,
+    service: { name: own.service, kind: own.kind },
+    endpointUrl: own.endpointUrl,
+    address: addressOf(own.address),
+    store: new HttpKeyValueStore(platform),
+    clock: new SystemClock(),
+    log: new BunyanEventLog({ process: id }),
+    tls: tls.peers,
+  });
+  await agent.start();
+  await untilStopped();
+  await agent.stop();
+  process.exit();
+}
+
+function addressOf(text: string): PeerAddress {
+  return parsePeerAddress(text) ?? { host: '127.0.0.1', port: 0 };
+}
--- /dev/null
+++ b/packages/cli/src/commands/untilStopped.ts
@@ -0,0 +1,12 @@
+/** Resolves at the first SIGTERM or SIGINT; a second one ends the process at once. */
+export async function untilStopped(): Promise<void> {
+  await new Promise<void>((resolve) => {
+    const onSignal = () => {
+      process.once('SIGTERM', () => process.exit(1));
+      process.once('SIGINT', () => process.exit(1));
+      resolve();
+    };
+    process.once('SIGTERM', onSignal);
+    process.once('SIGINT', onSignal);
+  });
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,4 @@
+/** Entry point of the program. */
+import { createProgram } from './commandLine';
+
+createProgram().run(process.argv);
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,3 @@
+/** A client for agent programs. */
+export * from './callerClient';
+export * from './programClient';
--- /dev/null
+++ b/packages/configuration/src/configurationView.ts
@@ -0,0 +1,96 @@
+import { type KeyValueStore, WatchedPrefix } from '@marjorampin/platform';
+import {
+  type Clock,
+  type Contract,
+  digestOf,
+  type SealingKey,
+  type Service,
+} from '@marjorampin/types';
+import {
+  CONFIGURATION_PREFIX,
+  CONTRACT_PREFIX,
+  type ContractBucket,
+  SEALING_KEYS_KEY,
+  SERVICES_KEY,
+} from './configurationKeys';
+
+/** What a view needs. */
+export interface ConfigurationViewOptions {
+  store: KeyValueStore;
+  clock: Clock;
+}
+
+/** The configuration in force in this process. */
+export class ConfigurationView {
+  private readonly watched: WatchedPrefix;
+
+  private contracts = new Map<string, Contract>();
+
+  private customersByKey = new Map<string, string>();
+
+  private services = new Map<string, Service>();
+
+  private keys: SealingKey[] = [];
+
+  constructor({ store, clock }: ConfigurationViewOptions) {
+    this.watched = new WatchedPrefix({ store, clock, prefix: CONFIGURATION_PREFIX });
+    this.watched.onChange(() => this.refresh());
+  }
+
+  /** Reads the configuration and follows it. */
+  async start(): Promise<void> {
+    await this.watched.start();
+    this.refresh();
+  }
+
+  /** Stops following. */
+  stop(): void {
+    this.watched.stop();
+  }
+
+  /** Returns a customer's contract. */
+  contract(customer: string): Contract | undefined {
+    return this.contracts.get(customer);
+  }
+
+  /** Returns the contract to which a caller's key belongs. */
+  contractOfKey(key: string): Contract | undefined {
+    return this.contracts.get(this.customersByKey.get(digestOf(key)) ?? '');
+  }
+
+  /** Returns a service. */
+  service(name: string): Service | undefined {
+    return this.services.get(name);
+  }
+
+  /** Returns the keys that open continuations; the highest number seals. */
+  get sealingKeys(): SealingKey[] {
+    return this.keys;
+  }
+
+  /** Returns the versions of all values in force, by key. */
+  versions(): Record<string, number> {
+    return Object.fromEntries(this.watched.all().map(({ key, version }) => [key, version]));
+  }
+
+  private refresh(): void {
+    const contracts = this.watched
+      .all()
+      .filter(({ key }) => key.startsWith(CONTRACT_PREFIX))
+      .flatMap(({ value }) => (JSON.parse(value) as ContractBucket).contracts);
+    this.contracts = new Map(contracts.map((contract) => [contract.customer, contract]));
+    this.customersByKey = new Map(
+      contracts.flatMap(({ customer, keyDigests }) =>
+        keyDigests.map((digest): [string, string] => [digest, customer]),
+      ),
+    );
+    const services = this.parse<{ services: Service[] }>(SERVICES_KEY)?.services ?? [];
+    this.services = new Map(services.map((service) => [service.name, service]));
+    this.keys = this.parse<{ sealingKeys: SealingKey[] }>(SEALING_KEYS_KEY)?.sealingKeys ?? [];
+  }
+
+  private parse<Value>(key: string): Value | undefined {
+    const stored = this.watched.get(key);
+    return stored ? (JSON.parse(stored.value) as Value) : undefined;
+  }
+}
--- /dev/null
+++ b/packages/development/src/index.ts
@@ -0,0 +1,2 @@
+/** The whole system in one process, for development, tests and benchmarks. */
+export * from './developmentCluster';
--- /dev/null
+++ b/packages/entry/src/callerApi.ts
@@ -0,0 +1,175 @@
+import type { ConfigurationView } from '@marjorampin/configuration';
+import type { Metrics } from '@marjorampin/metrics';
+import {
+  CallError,
+  type Clock,
+  type Contract,
+  customerPartitions,
+  parseProgramId,
+  toCallError,
+} from '@marjorampin/types';
+import { H3, type H3Event } from 'h3';
+import { CALL_SCHEMAS, type Call, type CallMethod } from './calls';
+import type { CallRouter } from './callRouter';
+import { OPEN_API } from './openApi';
+import { problemOf, problemResponse } from './problemDetails';
+import { readJson } from './readJson';
+
+/** What the callers' API needs. */
+export interface CallerApiOptions {
+  configuration: ConfigurationView;
+  router: CallRouter;
+  metrics: Metrics;
+  clock: Clock;
+  /** Returns true while new work is taken. */
+  isReady(): boolean;
+  /** Returns the partitions of the list that this process owns. */
+  ownedAmong(partitions: number[]): number[];
+}
+
+interface ParsedBody {
+  body: string;
+  isStreamed: boolean;
+}
+
+/** The HTTP API for callers. */
+export class CallerApi {
+  private readonly options: CallerApiOptions;
+
+  private runningRequests = 0;
+
+  constructor(options: CallerApiOptions) {
+    this.options = options;
+  }
+
+  /** Number of requests being answered. */
+  get running(): number {
+    return this.runningRequests;
+  }
+
+  /** Adds the routes. */
+  addRoutes(app: H3): void {
+    const { metrics, isReady } = this.options;
+    app.get('/healthz', () => new Response(null, { status: isReady() ? 200 : 503 }));
+    app.get('/metrics', async () => new Response(await metrics.render()));
+    app.get('/openapi.json', () => OPEN_API);
+    app.post('/v1/programs', (event) => this.answer(event, 'open'));
+    app.post('/v1/programs/:program/model-calls', (event) => this.answer(event, 'model'));
+    app.post('/v1/programs/:program/service-calls', (event) => this.answer(event, 'service'));
+    app.post('/v1/programs/:program/children', (event) => this.answer(event, 'spawn'));
+    app.post('/v1/programs/:program/end', (event) => this.answer(event, 'end'));
+    app.post('/v1/programs/:program/history', (event) => this.answer(event, 'history'));
+  }
+
+  private async answer(event: H3Event, method: CallMethod): Promise<Response> {
+    const { clock, metrics } = this.options;
+    const startedMs = clock.now();
+    this.runningRequests += 1;
+    let isStreaming = false;
+    try {
+      const contract = this.authenticate(event);
+      const { body, isStreamed } = await parseBody(event, method);
+      const call = this.createCall(event, method, contract, body);
+      if (isStreamed) {
+        isStreaming = true;
+        return this.stream(call, startedMs);
+      }
+      const answer = await this.options.router.route(call);
+      this.record(method, 'ok', startedMs);
+      return new Response(answer, { headers: { 'content-type': 'application/json' } });
+    } catch (thrown) {
+      const error = toCallError(thrown);
+      this.record(method, error.kind, startedMs);
+      metrics.count('failed_calls_total', { method, kind: error.kind, execution: error.execution });
+      return problemResponse(error);
+    } finally {
+      if (!isStreaming) this.runningRequests -= 1;
+    }
+  }
+
+  /** Streams the text as server-sent events: `text` parts, then `answer` or `problem`. */
+  private stream(call: Call, startedMs: number): Response {
+    const { router } = this.options;
+    const encoder = new TextEncoder();
+    let isOpen = true;
+    const stream = new ReadableStream<Uint8Array>({
+      start: async (controller) => {
+        const send = (event: string, data: string) => {
+          if (isOpen) controller.enqueue(encoder.encode(`event: ${event}\ndata: ${data}\n\n`));
+        };
+        try {
+          const onText = (text: string) => send('text', JSON.stringify({ text }));
+          const answer = await router.route({ ...call, onText });
+          this.record(call.method, 'ok', startedMs);
+          send('answer', answer);
+        } catch (thrown) {
+          const error = toCallError(thrown);
+          this.record(call.method, error.kind, startedMs);
+          send('problem', JSON.stringify(problemOf(error)));
+        } finally {
+          this.runningRequests -= 1;
+          if (isOpen) controller.close();
+        }
+      },
+      cancel: () => {
+        isOpen = false;
+      },
+    });
+    return new Response(stream, { headers: { 'content-type': 'text/event-stream' } });
+  }
+
+  private authenticate(event: H3Event): Contract {
+    const header = event.req.headers.get('authorization') ?? '';
+    const key = /^Bearer (\S{1,256})$/.exec(header)?.[1];
+    const contract = key ? this.options.configuration.contractOfKey(key) : undefined;
+    if (contract) return contract;
+    const message =
+      'the key is missing or belongs to no contract; send "authorization: Bearer KEY"';
+    throw new CallError({ kind: 'unauthenticated', message });
+  }
+
+  private createCall(event: H3Event, method: CallMethod, contract: Contract, body: string): Call {
+    const { customer } = contract;
+    const { signal } = new AbortController();
+    const rest = { customer, method, body, emittedText: '', onText: () => undefined, signal };
+    if (method === 'open') return { ...rest, program: '', partition: this.pickPartition(contract) };
+    const program = decodeURIComponent(event.context.params?.program ?? '');
+    const parts = parseProgramId(program);
+    if (!parts) {
+      const message = `"${program}" is not a program id; use the id that opening a program returned`;
+      throw new CallError({ kind: 'unknown-program', message });
+    }
+    if (parts.customer !== customer) {
+      const message = 'the program belongs to another customer; use the key of its own contract';
+      throw new CallError({ kind: 'forbidden', message });
+    }
+    return { ...rest, program, partition: parts.partition };
+  }
+
+  /** Prefers a partition that this process owns, which saves a hop on every turn. */
+  private pickPartition({ customer, partitions }: Contract): number {
+    const all = customerPartitions(customer, partitions);
+    const own = this.options.ownedAmong(all);
+    const choices = own.length > 0 ? own : all;
+    return choices[Math.floor(Math.random() * choices.length)] ?? 0;
+  }
+
+  private record(method: CallMethod, result: string, startedMs: number): void {
+    const { metrics, clock } = this.options;
+    metrics.count('calls_total', { method, result });
+    metrics.observe('call', { method }, clock.now() - startedMs);
+  }
+}
+
+async function parseBody(event: H3Event, method: CallMethod): Promise<ParsedBody> {
+  const json = await readJson(event.req);
+  const parsed = CALL_SCHEMAS[method].safeParse(json);
+  if (parsed.success) {
+    const isStreamed = 'stream' in parsed.data && parsed.data.stream === true;
+    return { body: JSON.stringify(parsed.data), isStreamed };
+  }
+  const [issue] = parsed.error.issues;
+  const field = issue?.path.join('.') || 'body';
+  const message = `"${field}" is wrong: ${issue?.message}; see /openapi.json`;
+  throw new CallError({ kind: 'invalid-request', message });
+}
--- /dev/null
+++ b/packages/entry/src/endpointDispatcher.ts
@@ -0,0 +1,118 @@
+import type { EventLog } from '@marjorampin/logging';
+import type { Metrics } from '@marjorampin/metrics';
+import { ENDPOINT_PREFIX, type KeyValueStore, WatchedPrefix } from '@marjorampin/platform';
+import type { PeerPool, Reply, RequestBody } from '@marjorampin/protocol';
+import {
+  chooseEndpoint,
+  type ChoiceRequest,
+  EndpointDirectory,
+  type EndpointView,
+} from '@marjorampin/routing';
+import { CallError, type Clock, type Endpoint, toCallError } from '@marjorampin/types';
+
+/** A service without an available endpoint is waited for this long before a call is refused. */
+const ENDPOINT_WAIT_MS = 1_500;
+const ENDPOINT_PAUSE_MS = 50;
+
+/** Failures that say something about the endpoint, not about the call. */
+const ENDPOINT_FAILURES = ['connection-lost', 'endpoint-failed', 'deadline-exceeded', 'leaving'];
+
+/** What the dispatcher needs. */
+export interface EndpointDispatcherOptions {
+  store: KeyValueStore;
+  peers: PeerPool;
+  clock: Clock;
+  log: EventLog;
+  metrics: Metrics;
+}
+
+/** How one request is sent. */
+export interface DispatchOptions {
+  signal?: AbortSignal;
+  onText?: (text: string) => void;
+  progressTimeoutMs: number;
+}
+
+/** Knows the endpoints, chooses among them and sends requests to their agents. */
+export class EndpointDispatcher {
+  readonly directory: EndpointDirectory;
+
+  private readonly options: EndpointDispatcherOptions;
+
+  private readonly watched: WatchedPrefix;
+
+  constructor(options: EndpointDispatcherOptions) {
+    this.options = options;
+    const { store, clock } = options;
+    this.directory = new EndpointDirectory({ clock });
+    this.watched = new WatchedPrefix({ store, clock, prefix: ENDPOINT_PREFIX });
+    this.watched.onChange(() => this.refresh());
+  }
+
+  /** Reads the endpoints and follows them. */
+  async start(): Promise<void> {
+    await this.watched.start();
+    this.refresh();
+  }
+
+  /** Stops following. */
+  stop(): void {
+    this.watched.stop();
+  }
+
+  /** Chooses an endpoint; waits a moment for one, then throws `no-endpoint`. */
+  async choose(service: string, request: ChoiceRequest, tried: Set<string>): Promise<EndpointView> {
+    const { clock } = this.options;
+    const giveUpAt = clock.now() + ENDPOINT_WAIT_MS;
+    for (;;) {
+      const available = this.directory.available(service);
+      const fresh = available.filter(({ endpoint }) => !tried.has(endpoint.id));
+      const chosen = chooseEndpoint(fresh.length > 0 ? fresh : available, request);
+      if (chosen) return chosen;
+      if (clock.now() >= giveUpAt) throw noEndpoint(service);
+      await clock.sleep(ENDPOINT_PAUSE_MS);
+    }
+  }
+
+  /** Sends a request to an endpoint's agent, and keeps new work away when that fails. */
+  async send(endpoint: Endpoint, body: RequestBody, options: DispatchOptions): Promise<Reply> {
+    const { peers, clock, metrics, log } = this.options;
+    const { onText, signal, progressTimeoutMs } = options;
+    const startedMs = clock.now();
+    this.directory.started(endpoint.id);
+    try {
+      return await peers.get(endpoint.agentAddress).call(body, {
+        progressTimeoutMs,
+        ...(signal ? { signal } : {}),
+        ...(onText ? { onItem: onText } : {}),
+      });
+    } catch (thrown) {
+      const { kind, message } = toCallError(thrown);
+      if (ENDPOINT_FAILURES.includes(kind)) {
+        this.directory.exclude(endpoint.id);
+        log.write('endpointFailed', { endpoint: endpoint.id, kind, message });
+        metrics.count('endpoint_failures_total', { endpoint: endpoint.id, kind });
+      }
+      throw thrown;
+    } finally {
+      this.directory.finished(endpoint.id);
+      metrics.observe('endpoint_call', { service: endpoint.service }, clock.now() - startedMs);
+    }
+  }
+
+  /** Returns the endpoint that runs under an incarnation, if it is still registered. */
+  find(id: string, incarnation: string): Endpoint | undefined {
+    const view = this.directory.get(id);
+    return view?.endpoint.incarnation === incarnation ? view.endpoint : undefined;
+  }
+
+  private refresh(): void {
+    const endpoints = this.watched.all().map(({ value }) => JSON.parse(value) as Endpoint);
+    this.directory.update(endpoints);
+  }
+}
+
+function noEndpoint(service: string): CallError {
+  const message = `no endpoint of "${service}" is available; retry later, or start one`;
+  return new CallError({ kind: 'no-endpoint', message, retryAfterMs: 2_000 });
+}
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,301 @@
+import { createServer, type Server } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import type { AddressInfo } from 'node:net';
+import { ConfigurationView } from '@marjorampin/configuration';
+import { DiskHistoryStore, MemoryHistoryStore } from '@marjorampin/history';
+import type { EventLog } from '@marjorampin/logging';
+import {
+  FailureDetector,
+  loadHash,
+  type Member,
+  MemberDirectory,
+  PartitionTable,
+} from '@marjorampin/membership';
+import type { Metrics } from '@marjorampin/metrics';
+import type { KeyValueStore } from '@marjorampin/platform';
+import { PeerPool, PeerServer, type TlsFiles } from '@marjorampin/protocol';
+import { type Clock, parseProgramId, type PeerAddress } from '@marjorampin/types';
+import { H3, toNodeHandler } from 'h3';
+import { AdministrationApi } from './administrationApi';
+import { CallerApi } from './callerApi';
+import { CallRouter } from './callRouter';
+import { EndpointDispatcher } from './endpointDispatcher';
+import { EntryHandler } from './entryHandler';
+import { HandoverReceiver } from './handoverReceiver';
+import { Handovers } from './handovers';
+import { HandoverSender } from './handoverSender';
+import { HistoryKeeper } from './historyKeeper';
+import { LedgerClient } from './ledgerClient';
+import { Ownership } from './ownership';
+import { PeerNeighbours } from './peerNeighbours';
+import { ProgramOwner } from './programOwner';
+import { ProgramRegistry } from './programRegistry';
+
+const DRAIN_POLL_MS = 20;
+
+/** What an entry needs. */
+export interface EntryOptions {
+  id: string;
+  domain: string;
+  /** Where callers connect. */
+  callerAddress: PeerAddress;
+  /** Where other processes connect. */
+  peerAddress: PeerAddress;
+  store: KeyValueStore;
+  clock: Clock;
+  log: EventLog;
+  metrics: Metrics;
+  /** Hex SHA-256 digests of the operators' keys. */
+  operatorKeyDigests?: string[];
+  /** Holds histories on disk below this folder; in memory when absent. */
+  dataFolder?: string | undefined;
+  /** Mutual TLS between own processes. */
+  peerTls?: TlsFiles | undefined;
+  /** TLS towards callers and operators. */
+  callerTls?: { certificate: string; key: string } | undefined;
+}
+
+/** The addresses of a started entry. */
+export interface EntryAddresses {
+  callers: PeerAddress;
+  peers: PeerAddress;
+}
+
+/** The process that takes callers' requests and owns partitions of programs. */
+export class Entry {
+  readonly incarnation = randomUUID();
+
+  private readonly options: EntryOptions;
+
+  private readonly configuration: ConfigurationView;
+
+  private readonly members: MemberDirectory;
+
+  private readonly table: PartitionTable;
+
+  private readonly handler = new EntryHandler();
+
+  private readonly peers: PeerPool;
+
+  private readonly peerServer: PeerServer;
+
+  private readonly dispatcher: EndpointDispatcher;
+
+  private callerServer: Server | undefined;
+
+  private callerApi: CallerApi | undefined;
+
+  private ownership: Ownership | undefined;
+
+  private detector: FailureDetector | undefined;
+
+  private history: HistoryKeeper | undefined;
+
+  private isLeaving = false;
+
+  private isStopped = false;
+
+  private address = '';
+
+  constructor(options: EntryOptions) {
+    this.options = options;
+    const { store, clock, log, metrics, peerTls: tls } = options;
+    this.configuration = new ConfigurationView({ store, clock });
+    this.members = new MemberDirectory({ store, clock });
+    this.table = new PartitionTable({ store, clock });
+    this.peers = new PeerPool({ handler: this.handler, clock, tls });
+    this.peerServer = new PeerServer({
+      address: options.peerAddress,
+      handler: this.handler,
+      clock,
+      ...(tls ? { tls } : {}),
+    });
+    this.dispatcher = new EndpointDispatcher({ store, peers: this.peers, clock, log, metrics });
+  }
+
+  /** Joins the other entries and starts to serve callers. */
+  async start(): Promise<EntryAddresses> {
+    const { id, log } = this.options;
+    const peers = await this.peerServer.listen();
+    this.address = `${peers.host}:${peers.port}`;
+    await Promise.all([
+      this.configuration.start(),
+      this.members.start(),
+      this.table.start(),
+      this.dispatcher.start(),
+    ]);
+    await this.register();
+    const router = await this.assemble();
+    const callers = await this.listenForCallers(router);
+    this.members.onChange(() => this.reregisterWhenRemoved());
+    log.write('processStarted', { role: 'entry', id });
+    return { callers, peers };
+  }
+
+  /** Planned stop: partitions go to other entries, requests in progress finish. */
+  async stop(): Promise<void> {
+    const { id, log, clock } = this.options;
+    log.write('processStopping', { role: 'entry', id });
+    this.isLeaving = true;
+    await this.register();
+    await this.ownership?.whenHandedOver();
+    while ((this.callerApi?.running ?? 0) > 0 || this.hasDepartedCalls()) {
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+    await this.history?.evacuate(
+      (partition) => this.table.get(partition).epoch,
+      (program) => parseProgramId(program)?.partition ?? 0,
+    );
+    await this.members.remove(id, this.incarnation);
+    await this.kill();
+    log.write('processStopped', { role: 'entry', id });
+  }
+
+  /** Ends at once, as a crash would. */
+  async kill(): Promise<void> {
+    this.isStopped = true;
+    this.ownership?.stop();
+    this.detector?.stop();
+    [this.configuration, this.members, this.table, this.dispatcher].forEach((part) => part.stop());
+    this.peers.close();
+    this.callerServer?.closeAllConnections();
+    this.callerServer?.close();
+    await this.peerServer.close();
+  }
+
+  private registry: ProgramRegistry | undefined;
+
+  private hasDepartedCalls(): boolean {
+    return (this.registry?.all() ?? []).some((program) => program.isRunning);
+  }
+
+  private async register(): Promise<void> {
+    const { id, domain } = this.options;
+    const { address, incarnation, isLeaving: leaving } = this;
+    await this.members.register({ id, address, domain, incarnation, leaving });
+  }
+
+  /** The others took this entry for dead, for instance after a pause. */
+  private reregisterWhenRemoved(): void {
+    const { id, log } = this.options;
+    if (this.isStopped || this.isLeaving || this.members.get(id)) return;
+    log.write('memberReregistered', { id });
+    this.register();
+  }
+
+  /** Builds the parts that work on programs, and connects them. */
+  private async assemble(): Promise<CallRouter> {
+    const { id: self, store, clock, log, metrics, dataFolder } = this.options;
+    const { configuration, members, table, peers, dispatcher } = this;
+    const hash = await loadHash();
+    const local = dataFolder
+      ? new DiskHistoryStore({ folder: dataFolder })
+      : new MemoryHistoryStore();
+    const history = new HistoryKeeper({ self, local, members, peers, hash, log });
+    const addressOf = (entry: string) => members.get(entry)?.address;
+    const ledger = new LedgerClient({ self, store, table, peers, clock, addressOf });
+    const isMember = (entry: string) => members.get(entry) !== undefined;
+    const handovers = new Handovers({ clock, isMember });
+    const registry = new ProgramRegistry({ configuration, history, ledger, handovers, clock, log });
+    const sender = new HandoverSender({ self, registry, peers, log, addressOf });
+    const ownership = new Ownership({
+      self,
+      table,
+      members,
+      clock,
+      hash,
+      log,
+      onLost: (lost) => {
+        handovers.dropPartitions(new Set(lost.map(({ partition }) => partition)));
+        sender.send(lost);
+      },
+    });
+    const owner = new ProgramOwner({
+      configuration,
+      registry,
+      history,
+      ledger,
+      dispatcher,
+      clock,
+      log,
+      metrics,
+      epochOf: (partition) => ownership.epochOf(partition),
+      shareOf: (partitions) => ownership.shareOf(partitions),
+      settleDeparted: (program, segment) => sender.settle(program, segment),
+    });
+    const neighbours = new PeerNeighbours({ self, members, peers, log });
+    const detector = new FailureDetector({ self, neighbours, clock, hash });
+    const receiver = new HandoverReceiver({ handovers, ownership, history });
+    const endpoints = dispatcher.directory;
+    this.handler.open({ owner, history, ledger, detector, handovers: receiver, endpoints });
+    this.ownership = ownership;
+    this.detector = detector;
+    this.history = history;
+    this.registry = registry;
+    await ownership.start();
+    detector.run();
+    metrics.gauge('programs', 'Programs in memory.', () => registry.size);
+    metrics.gauge('partitions', 'Partitions that this entry owns.', () => ownership.count);
+    return new CallRouter({ self, owner, table, members, peers, clock, metrics });
+  }
+
+  private async listenForCallers(router: CallRouter): Promise<PeerAddress> {
+    const { callerAddress, callerTls, clock, metrics, store, log } = this.options;
+    const { configuration } = this;
+    const app = new H3();
+    this.callerApi = new CallerApi({
+      configuration,
+      router,
+      metrics,
+      clock,
+      isReady: () => !this.isLeaving,
+      ownedAmong: (partitions) =>
+        partitions.filter((partition) => this.table.get(partition).owner === this.options.id),
+    });
+    this.callerApi.addRoutes(app);
+    const operatorKeyDigests = this.options.operatorKeyDigests ?? [];
+    const status = () => this.describe();
+    const administration = { store, configuration, operatorKeyDigests, log, status };
+    new AdministrationApi(administration).addRoutes(app);
+    const listener = toNodeHandler(app);
+    const server = callerTls
+      ? createTlsServer(
+          { cert: readFileSync(callerTls.certificate), key: readFileSync(callerTls.key) },
+          listener,
+        )
+      : createServer(listener);
+    this.callerServer = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(callerAddress.port, callerAddress.host, resolve);
+    });
+    return { host: callerAddress.host, port: (server.address() as AddressInfo).port };
+  }
+
+  private describe() {
+    const { id, domain } = this.options;
+    const members: Member[] = this.members.all();
+    const endpoints = this.dispatcher.directory.all().map(({ endpoint, load, isLeaving }) => ({
+      id: endpoint.id,
+      service: endpoint.service,
+      domain: endpoint.domain,
+      isLeaving,
+      load,
+    }));
+    return {
+      id,
+      domain,
+      partitions: this.ownership?.count ?? 0,
+      programs: this.registry?.size ?? 0,
+      configuration: this.configuration.versions(),
+      members: members.map((member) => ({
+        id: member.id,
+        domain: member.domain,
+        leaving: member.leaving,
+      })),
+      endpoints,
+    };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/entryHandler.ts
@@ -0,0 +1,123 @@
+import type { FailureDetector } from '@marjorampin/membership';
+import {
+  type EndpointReport,
+  type IncomingCall,
+  PeerHandler,
+  type Request,
+} from '@marjorampin/protocol';
+import type { EndpointDirectory } from '@marjorampin/routing';
+import { CallError } from '@marjorampin/types';
+import type { CallMethod } from './calls';
+import type { HistoryKeeper } from './historyKeeper';
+import type { HandoverReceiver } from './handoverReceiver';
+import type { LedgerClient } from './ledgerClient';
+import { recordOf, segmentOf } from './messages';
+import type { ProgramOwner } from './programOwner';
+
+type ReplyInit = Awaited<ReturnType<PeerHandler['handle']>>;
+type RequestOf<Case extends string> = Extract<Request['body'], { case: Case }>['value'];
+
+const ACCEPTED: ReplyInit = { body: { case: 'acknowledgement', value: { accepted: true } } };
+
+/** What answers other processes' requests at an entry. */
+export interface EntryHandlerOptions {
+  owner: ProgramOwner;
+  history: HistoryKeeper;
+  ledger: LedgerClient;
+  detector: FailureDetector;
+  handovers: HandoverReceiver;
+  endpoints: EndpointDirectory;
+}
+
+/** Answers the requests of other entries and takes in the agents' reports. */
+export class EntryHandler extends PeerHandler {
+  private options: EntryHandlerOptions | undefined;
+
+  /** Begins to answer; requests that come earlier are refused. */
+  open(options: EntryHandlerOptions): void {
+    this.options = options;
+  }
+
+  override async handle({ body }: Request, call: IncomingCall): Promise<ReplyInit> {
+    if (body.case === 'probe') return ACCEPTED;
+    const { history, handovers, detector } = this.collaborators();
+    switch (body.case) {
+      case 'forwardedCall':
+        return this.executeForwarded(body.value, call);
+      case 'storeSegment':
+        await history.storeLocally(fenceOf(body.value.fence), segmentIn(body.value));
+        return ACCEPTED;
+      case 'readSegments': {
+        const segments = await history.readLocally(fenceOf(body.value.fence), body.value.program);
+        return { body: { case: 'segments', value: { segments } } };
+      }
+      case 'dropSegments':
+        await history.dropLocally(body.value.program);
+        return ACCEPTED;
+      case 'appendRecords':
+        return this.append(body.value);
+      case 'readRecord':
+        return this.readRecord(body.value);
+      case 'handover':
+        handovers.receive(body.value);
+        return ACCEPTED;
+      case 'programSettled': {
+        const holders = await handovers.receiveSettled(body.value);
+        return { body: { case: 'heldBy', value: { holders } } };
+      }
+      case 'suspicion':
+        detector.receive(body.value.suspect, body.value.incarnation, body.value.reporter);
+        return ACCEPTED;
+      default:
+        throw new CallError({
+          kind: 'invalid-request',
+          message: `an entry does not answer "${body.case}"; send it to an agent`,
+        });
+    }
+  }
+
+  override handleReport(report: EndpointReport): void {
+    const { endpoint, leaving, running, queued, cachedTokens } = report;
+    this.options?.endpoints.report(endpoint, { running, queued, cachedTokens }, leaving);
+  }
+
+  private async executeForwarded(
+    request: RequestOf<'forwardedCall'>,
+    { signal, send }: IncomingCall,
+  ): Promise<ReplyInit> {
+    const { customer, program, partition, body, emittedText } = request;
+    const method = request.method as CallMethod;
+    const call = { customer, method, program, partition, body, emittedText, signal, onText: send };
+    const answer = await this.collaborators().owner.execute(call);
+    return { body: { case: 'forwardedResult', value: { body: answer } } };
+  }
+
+  private async append({ shard, records }: RequestOf<'appendRecords'>): Promise<ReplyInit> {
+    const appended = await this.collaborators().ledger.local(shard).append(records.map(recordOf));
+    if (appended.err) throw appended.val;
+    const value = { conflict: !appended.val.appended, records: appended.val.standing };
+    return { body: { case: 'records', value } };
+  }
+
+  private async readRecord({ shard, key }: RequestOf<'readRecord'>): Promise<ReplyInit> {
+    const read = await this.collaborators().ledger.local(shard).read(key);
+    if (read.err) throw read.val;
+    return { body: { case: 'records', value: { records: read.val ? [read.val] : [] } } };
+  }
+
+  private collaborators(): EntryHandlerOptions {
+    if (this.options) return this.options;
+    const message = 'this entry is still starting; retry shortly';
+    throw new CallError({ kind: 'not-owner', message, retryAfterMs: 100 });
+  }
+}
+
+function fenceOf(fence: { partition: number; epoch: number } | undefined) {
+  if (fence) return fence;
+  throw new CallError({ kind: 'invalid-request', message: 'the request names no partition' });
+}
+
+function segmentIn({ segment }: RequestOf<'storeSegment'>) {
+  if (segment) return segmentOf(segment);
+  throw new CallError({ kind: 'invalid-request', message: 'the request holds no segment' });
+}
--- /dev/null
+++ b/packages/entry/src/handoverReceiver.ts
@@ -0,0 +1,68 @@
+import type { Handover, ProgramSettled } from '@marjorampin/protocol';
+import { CallError, parseProgramId, type Segment } from '@marjorampin/types';
+import type { Handovers } from './handovers';
+import type { HistoryKeeper } from './historyKeeper';
+import { type ProgramSnapshot, segmentOf, snapshotOf } from './messages';
+import type { Ownership } from './ownership';
+
+/** What a receiver of handovers needs. */
+export interface HandoverReceiverOptions {
+  handovers: Handovers;
+  ownership: Ownership;
+  history: HistoryKeeper;
+}
+
+/** Takes in what former owners say about partitions and calls that they gave up. */
+export class HandoverReceiver {
+  private readonly options: HandoverReceiverOptions;
+
+  constructor(options: HandoverReceiverOptions) {
+    this.options = options;
+  }
+
+  /** Notes a partition's programs, if the former owner's word is awaited. */
+  receive({ partition, epoch, programs, sender }: Handover): void {
+    const { handovers, ownership } = this.options;
+    if (!ownership.isAwaited(partition, epoch, sender)) return;
+    handovers.receive(epoch, sender, programs.map(snapshotOf));
+    ownership.receiveHandover(partition);
+  }
+
+  /** Keeps the turn of a call that ended at the former owner; returns its holders. */
+  async receiveSettled({ program, segment }: ProgramSettled): Promise<string[]> {
+    const { handovers } = this.options;
+    const known = handovers.running(program?.program ?? '');
+    if (!program || !known) {
+      const message = 'the program was taken up without its former owner; retry the call';
+      throw new CallError({ kind: 'not-owner', message, retryAfterMs: 100 });
+    }
+    const state = snapshotOf(program);
+    if (!segment) {
+      handovers.settle(state, undefined, state.holders);
+      return state.holders;
+    }
+    const kept = segmentOf(segment);
+    const holders = await this.keep(state, known, kept);
+    handovers.settle(state, kept, holders);
+    return holders;
+  }
+
+  private async keep(
+    state: ProgramSnapshot,
+    known: ProgramSnapshot,
+    segment: Segment,
+  ): Promise<string[]> {
+    const { ownership, history } = this.options;
+    const { partition, customer } = parseProgramId(state.program) ?? { partition: 0, customer: '' };
+    const epoch = await ownership.epochOf(partition);
+    const token = { partition, epoch };
+    const { turn, digest, granted, spent, holders } = known;
+    const before = { program: state.program, customer, turn, digest, granted, spent, holders };
+    const chain = await history.find(token, { ...before, parent: '', epoch, expiresMs: 0 });
+    if (!chain) {
+      const message = 'the turns before this one can not be read; retry the call';
+      throw new CallError({ kind: 'owner-unavailable', message, execution: 'unknown' });
+    }
+    return history.store(token, [...chain.slice(0, turn), segment], holders);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/historyKeeper.ts
@@ -0,0 +1,205 @@
+import { type Continuation, type HistoryStore, isWholeChain } from '@marjorampin/history';
+import type { EventLog } from '@marjorampin/logging';
+import {
+  type Hash,
+  type Member,
+  type MemberDirectory,
+  rendezvousOrder,
+} from '@marjorampin/membership';
+import type { PeerPool } from '@marjorampin/protocol';
+import {
+  CallError,
+  EpochFence,
+  type FenceToken,
+  type Segment,
+  toCallError,
+} from '@marjorampin/types';
+import { segmentOf } from './messages';
+
+/** Number of processes that hold each segment. */
+const COPIES = 2;
+
+/** Entries that are asked for a history besides those that the continuation names. */
+const LIKELY_HOLDERS = 3;
+
+const HOLDER_TIMEOUT_MS = 1_500;
+
+/** What the keeper needs. */
+export interface HistoryKeeperOptions {
+  self: string;
+  local: HistoryStore;
+  members: MemberDirectory;
+  peers: PeerPool;
+  hash: Hash;
+  log: EventLog;
+}
+
+/** Holds segments for other entries and finds the holders of own programs. */
+export class HistoryKeeper {
+  private readonly options: HistoryKeeperOptions;
+
+  private readonly fence = new EpochFence();
+
+  constructor(options: HistoryKeeperOptions) {
+    this.options = options;
+  }
+
+  /** Keeps a segment here, unless a newer owner of its partition was seen. */
+  async storeLocally(token: FenceToken, segment: Segment): Promise<void> {
+    this.fence.admit(token);
+    await this.options.local.store(segment);
+  }
+
+  /** Returns a program's segments that are held here. */
+  async readLocally(token: FenceToken, program: string): Promise<Segment[]> {
+    this.fence.admit(token);
+    return this.options.local.read(program);
+  }
+
+  /** Drops a program's segments that are held here. */
+  async dropLocally(program: string): Promise<void> {
+    await this.options.local.drop(program);
+  }
+
+  /**
+   * Stores a turn at two entries of different failure domains and returns their ids. A new
+   * holder gets all turns. Throws when an entry knows a newer owner.
+   */
+  async store(token: FenceToken, segments: Segment[], previous: string[]): Promise<string[]> {
+    const candidates = this.candidates(token.partition, previous);
+    const holders: Member[] = [];
+    for (const candidate of candidates) {
+      const isEnough = holders.length >= COPIES;
+      const isUseful = holders.length === 0 || addsDomain(holders, candidate, candidates);
+      if (!isEnough && isUseful) {
+        const isHeld = await this.storeAt(candidate, token, segments, previous);
+        if (isHeld) holders.push(candidate);
+      }
+    }
+    if (holders.length === 0) throw noHolder();
+    if (holders.length < COPIES) {
+      this.options.log.write('historyUnderReplicated', { holder: holders[0]?.id });
+    }
+    return holders.map(({ id }) => id);
+  }
+
+  /** Finds the chain that a continuation ends, or a longer one; undefined when nobody has it. */
+  async find(token: FenceToken, continuation: Continuation): Promise<Segment[] | undefined> {
+    if (continuation.turn === 0 && continuation.holders.length === 0) {
+      const found = await this.readAll(token, continuation);
+      return longest(found, continuation) ?? [];
+    }
+    const found = await this.readAll(token, continuation);
+    return longest(found, continuation);
+  }
+
+  /** Gives every program that is held here to two other entries, before a planned stop. */
+  async evacuate(epochOf: (partition: number) => number, partitionOf: (program: string) => number) {
+    const { local } = this.options;
+    for (const program of await local.programs()) {
+      const partition = partitionOf(program);
+      const segments = await local.read(program);
+      const token = { partition, epoch: epochOf(partition) };
+      const others = this.candidates(partition, []).filter(({ id }) => id !== this.options.self);
+      for (const candidate of others.slice(0, COPIES)) {
+        await this.storeAt(candidate, token, segments, []).catch(() => undefined);
+      }
+    }
+  }
+
+  /** Returns entries in the order of preference: self, former holders, then rendezvous order. */
+  private candidates(partition: number, previous: string[]): Member[] {
+    const { self, members, hash } = this.options;
+    const order = rendezvousOrder(members.eligible(), partition, hash);
+    const ids = [...new Set([self, ...previous, ...order])];
+    const known = ids.flatMap((id) => members.get(id) ?? []).filter(({ leaving }) => !leaving);
+    const own = members.get(self);
+    // Another domain's entries come first after the own one, so that few are passed over.
+    const remote = known.filter(({ domain }) => domain !== own?.domain);
+    const local = known.filter(({ domain, id }) => domain === own?.domain && id !== self);
+    const first = own && !own.leaving ? [own] : [];
+    return [...first, ...remote, ...local];
+  }
+
+  private async storeAt(
+    holder: Member,
+    token: FenceToken,
+    segments: Segment[],
+    previous: string[],
+  ): Promise<boolean> {
+    const missing = previous.includes(holder.id) ? segments.slice(-1) : segments;
+    try {
+      await this.sendSegments(holder, token, missing);
+      return true;
+    } catch (error) {
+      if (toCallError(error).kind === 'stale-epoch') throw error;
+      return false;
+    }
+  }
+
+  private async sendSegments(holder: Member, token: FenceToken, segments: Segment[]) {
+    const { self, peers } = this.options;
+    for (const segment of segments) {
+      if (holder.id === self) {
+        await this.storeLocally(token, segment);
+      } else {
+        const value = { fence: token, segment };
+        const options = { progressTimeoutMs: HOLDER_TIMEOUT_MS };
+        await peers.get(holder.address).call({ case: 'storeSegment', value }, options);
+      }
+    }
+  }
+
+  private async readAll(token: FenceToken, continuation: Continuation): Promise<Segment[][]> {
+    const { members, hash, self } = this.options;
+    const likely = rendezvousOrder(
+      members.all().map(({ id }) => id),
+      token.partition,
+      hash,
+    ).slice(0, LIKELY_HOLDERS);
+    const ids = [...new Set([self, ...continuation.holders, ...likely])];
+    const holders = ids.flatMap((id) => members.get(id) ?? []);
+    const read = holders.map((holder) => this.readAt(holder, token, continuation.program));
+    return Promise.all(read);
+  }
+
+  private async readAt(holder: Member, token: FenceToken, program: string): Promise<Segment[]> {
+    const { self, peers } = this.options;
+    if (holder.id === self) return this.readLocally(token, program);
+    try {
+      const value = { fence: token, program, fromTurn: 1 };
+      const options = { progressTimeoutMs: HOLDER_TIMEOUT_MS };
+      const reply = await peers.get(holder.address).call({ case: 'readSegments', value }, options);
+      return reply.body.case === 'segments' ? reply.body.value.segments.map(segmentOf) : [];
+    } catch (error) {
+      if (toCallError(error).kind === 'stale-epoch') throw error;
+      return [];
+    }
+  }
+}
+
+function addsDomain(holders: Member[], candidate: Member, candidates: Member[]): boolean {
+  const taken = new Set(holders.map(({ domain }) => domain));
+  if (!taken.has(candidate.domain)) return true;
+  return candidates.every(({ domain }) => taken.has(domain));
+}
+
+function longest(found: Segment[][], { turn, digest }: Continuation): Segment[] | undefined {
+  const fitting = found.filter((segments) => {
+    const isLongEnough = segments.length >= turn;
+    const endsRight = turn === 0 || segments[turn - 1]?.digest === digest;
+    return segments.length > 0 && isLongEnough && endsRight && isWholeChain(segments);
+  });
+  return fitting.sort((a, b) => b.length - a.length)[0];
+}
+
+function noHolder(): CallError {
+  const message =
+    'no entry could hold the turn; retry the call, which is then answered from memory';
+  return new CallError({
+    kind: 'owner-unavailable',
+    message,
+    execution: 'unknown',
+    retryAfterMs: 500,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/ledgerClient.ts
@@ -0,0 +1,139 @@
+import { createHash } from 'node:crypto';
+import { type AppendOutcome, type LedgerRecord, LedgerShard } from '@marjorampin/ledger';
+import type { PartitionTable } from '@marjorampin/membership';
+import type { KeyValueStore } from '@marjorampin/platform';
+import type { PeerPool, Reply, RequestBody } from '@marjorampin/protocol';
+import {
+  CallError,
+  type Clock,
+  Err,
+  LEDGER_SHARD_COUNT,
+  Ok,
+  type Result,
+  toCallError,
+} from '@marjorampin/types';
+import { recordOf } from './messages';
+
+/** A shard without a reachable writer is tried for this long. */
+const WRITER_WAIT_MS = 3_000;
+const WRITER_PAUSE_MS = 50;
+
+/** An append that the writer does not answer for this long is given up. */
+const APPEND_TIMEOUT_MS = 5_000;
+
+/** What the client needs. */
+export interface LedgerClientOptions {
+  self: string;
+  store: KeyValueStore;
+  table: PartitionTable;
+  peers: PeerPool;
+  clock: Clock;
+  /** Returns the peer address of an entry. */
+  addressOf(entry: string): string | undefined;
+}
+
+interface OpenShard {
+  epoch: number;
+  shard: LedgerShard;
+}
+
+/** Returns the shard that records a key. */
+export function shardOfKey(key: string): number {
+  return (createHash('sha256').update(key).digest()[0] ?? 0) % LEDGER_SHARD_COUNT;
+}
+
+/**
+ * Reaches the writer of each ledger shard: the owner of the partition with the shard's number.
+ */
+export class LedgerClient {
+  private readonly options: LedgerClientOptions;
+
+  private readonly shards = new Map<number, OpenShard>();
+
+  constructor(options: LedgerClientOptions) {
+    this.options = options;
+  }
+
+  /** Appends one record through its shard's writer. */
+  async append(record: LedgerRecord): Promise<Result<AppendOutcome, CallError>> {
+    const shard = shardOfKey(record.key);
+    return this.withWriter(
+      shard,
+      (local) => local.append([record]),
+      async (address) => {
+        const value = { shard, records: [record] };
+        const reply = await this.request(address, { case: 'appendRecords', value });
+        const { conflict, records } = recordsOf(reply);
+        return { appended: !conflict, standing: records };
+      },
+    );
+  }
+
+  /** Returns the newest record of a key. */
+  async read(key: string): Promise<Result<LedgerRecord | undefined, CallError>> {
+    const shard = shardOfKey(key);
+    return this.withWriter(
+      shard,
+      (local) => local.read(key),
+      async (address) => {
+        const value = { shard, key };
+        return recordsOf(await this.request(address, { case: 'readRecord', value })).records[0];
+      },
+    );
+  }
+
+  /** Returns the local writer of a shard; throws `not-owner` when it is elsewhere. */
+  local(shard: number): LedgerShard {
+    const { self, table, store, clock } = this.options;
+    const { owner, epoch } = table.get(shard);
+    if (owner !== self) {
+      const message = `ledger shard ${shard} is written by ${owner || 'nobody'}; ask that entry`;
+      throw new CallError({ kind: 'not-owner', message, retryAfterMs: WRITER_PAUSE_MS });
+    }
+    const known = this.shards.get(shard);
+    if (known?.epoch === epoch) return known.shard;
+    const opened = new LedgerShard({ store, shard, writer: self, clock });
+    this.shards.set(shard, { epoch, shard: opened });
+    return opened;
+  }
+
+  private request(address: string, body: RequestBody): Promise<Reply> {
+    const { peers } = this.options;
+    return peers.get(address).call(body, { progressTimeoutMs: APPEND_TIMEOUT_MS });
+  }
+
+  /** Asks the writer, and follows it when it changes; gives up after a short while. */
+  private async withWriter<Value>(
+    shard: number,
+    askLocal: (local: LedgerShard) => Promise<Result<Value, CallError>>,
+    askRemote: (address: string) => Promise<Value>,
+  ): Promise<Result<Value, CallError>> {
+    const { self, table, clock, addressOf } = this.options;
+    const giveUpAt = clock.now() + WRITER_WAIT_MS;
+    let last = noWriter(shard);
+    while (clock.now() < giveUpAt) {
+      const { owner } = table.get(shard);
+      const address = addressOf(owner);
+      try {
+        if (owner === self) return await askLocal(this.local(shard));
+        if (address) return Ok(await askRemote(address));
+      } catch (error) {
+        last = toCallError(error);
+        if (!['not-owner', 'connection-lost', 'stale-epoch'].includes(last.kind)) return Err(last);
+      }
+      await clock.sleep(WRITER_PAUSE_MS);
+    }
+    return Err(noWriter(shard, last.message));
+  }
+}
+
+function recordsOf(reply: Reply): { conflict: boolean; records: LedgerRecord[] } {
+  if (reply.body.case !== 'records') return { conflict: false, records: [] };
+  const { conflict, records } = reply.body.value;
+  return { conflict, records: records.map(recordOf) };
+}
+
+function noWriter(shard: number, reason = 'no entry owns it'): CallError {
+  const message = `the writer of ledger shard ${shard} can't be reached (${reason}); retry later`;
+  return new CallError({ kind: 'platform-unavailable', message, retryAfterMs: 1_000 });
+}
--- /dev/null
+++ b/packages/entry/src/ownership.ts
@@ -0,0 +1,248 @@
+import type { EventLog } from '@marjorampin/logging';
+import {
+  type Hash,
+  type MemberDirectory,
+  type PartitionTable,
+  type Reassignment,
+  rendezvousOrder,
+  rendezvousWinner,
+} from '@marjorampin/membership';
+import { CallError, type Clock, PARTITION_COUNT } from '@marjorampin/types';
+
+const RECONCILE_INTERVAL_MS = 500;
+
+/** The next in rendezvous order may claim an orphan after this much longer. */
+const CLAIM_DELAY_MS = 1_000;
+
+/** A new member gets partitions handed over once it has been known for this long. */
+const STABLE_AFTER_MS = 2_000;
+
+/** Partitions handed over in one round, so that each round's swaps stay few. */
+const HANDOVERS_PER_ROUND = 512;
+
+/** A former owner's word is waited for this long. */
+const HANDOVER_WAIT_MS = 3_000;
+const HANDOVER_POLL_MS = 20;
+
+/** What the ownership of partitions needs. */
+export interface OwnershipOptions {
+  self: string;
+  table: PartitionTable;
+  members: MemberDirectory;
+  clock: Clock;
+  hash: Hash;
+  log: EventLog;
+  /** Called with partitions that another entry owns now. */
+  onLost(partitions: { partition: number; owner: string; epoch: number }[]): void;
+}
+
+interface Owned {
+  epoch: number;
+  /** The entry whose word is awaited; empty when there is none to wait for. */
+  awaiting: string;
+  sinceMs: number;
+}
+
+/** Which partitions this process owns: claims orphans, hands over, notices what it lost. */
+export class Ownership {
+  private readonly options: OwnershipOptions;
+
+  private readonly owned = new Map<number, Owned>();
+
+  private readonly claimed = new Map<number, number>();
+
+  private readonly lastOwners: string[] = Array.from({ length: PARTITION_COUNT }, () => '');
+
+  private readonly orphanedSince = new Map<number, number>();
+
+  private readonly memberSince = new Map<string, number>();
+
+  private readonly stopped = new AbortController();
+
+  private isReconciling = false;
+
+  constructor(options: OwnershipOptions) {
+    this.options = options;
+  }
+
+  /** Claims what an earlier start of this process owned, then follows the table. */
+  async start(): Promise<void> {
+    const { table, members, self } = this.options;
+    const changes = table.ownedBy(self).map((partition) => this.claimOf(partition));
+    await this.claim(changes);
+    this.followTable();
+    table.onChange(() => this.followTable());
+    members.onChange(() => this.reconcile());
+    this.run();
+  }
+
+  /** Stops claiming and handing over. */
+  stop(): void {
+    this.stopped.abort();
+  }
+
+  /** Returns the epoch of an owned partition, once its former owner has said what it knew. */
+  async epochOf(partition: number): Promise<number> {
+    const { clock, members } = this.options;
+    for (;;) {
+      const owned = this.owned.get(partition);
+      if (!owned) throw this.notOwner(partition);
+      const { awaiting, sinceMs } = owned;
+      const isOver = clock.now() - sinceMs > HANDOVER_WAIT_MS || !members.get(awaiting);
+      if (awaiting === '' || isOver) return owned.epoch;
+      await clock.sleep(HANDOVER_POLL_MS);
+    }
+  }
+
+  /** Returns the epoch of a partition as last seen, whoever owns it. */
+  knownEpoch(partition: number): number {
+    return this.options.table.get(partition).epoch;
+  }
+
+  /** Returns true while a former owner's word on a partition is awaited. */
+  isAwaited(partition: number, epoch: number, sender: string): boolean {
+    const owned = this.owned.get(partition);
+    return owned?.epoch === epoch && owned.awaiting === sender;
+  }
+
+  /** Takes the former owner's word as given. */
+  receiveHandover(partition: number): void {
+    const owned = this.owned.get(partition);
+    if (owned) owned.awaiting = '';
+  }
+
+  /** Returns the share of the listed partitions that this process owns. */
+  shareOf(partitions: number[]): number {
+    const own = partitions.filter((partition) => this.owned.has(partition)).length;
+    return own / Math.max(1, partitions.length);
+  }
+
+  /** Number of owned partitions. */
+  get count(): number {
+    return this.owned.size;
+  }
+
+  /** Resolves when everything is handed over, or nobody is left to take it. */
+  async whenHandedOver(): Promise<void> {
+    const { members, clock } = this.options;
+    while (this.owned.size > 0 && members.eligible().length > 0) {
+      await this.reconcile();
+      await clock.sleep(HANDOVER_POLL_MS);
+    }
+  }
+
+  private async run(): Promise<void> {
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      await this.reconcile();
+      await this.options.clock.sleep(RECONCILE_INTERVAL_MS, signal).catch(() => undefined);
+    }
+  }
+
+  private async reconcile(): Promise<void> {
+    if (this.isReconciling || this.stopped.signal.aborted) return;
+    this.isReconciling = true;
+    try {
+      this.noteMembers();
+      await this.claim(this.findClaims());
+      await this.handOver();
+    } finally {
+      this.isReconciling = false;
+    }
+  }
+
+  private noteMembers(): void {
+    const now = this.options.clock.now();
+    const ids = new Set(this.options.members.all().map(({ id }) => id));
+    ids.forEach((id) => {
+      if (!this.memberSince.has(id)) this.memberSince.set(id, now);
+    });
+    [...this.memberSince.keys()].forEach((id) => {
+      if (!ids.has(id)) this.memberSince.delete(id);
+    });
+  }
+
+  /** Returns the orphans whose turn it is for this process to claim. */
+  private findClaims(): Reassignment[] {
+    const { table, members, self, clock, hash } = this.options;
+    const eligible = members.eligible();
+    if (!eligible.includes(self)) return [];
+    const now = clock.now();
+    return table.all().flatMap(({ owner }, partition) => {
+      if (members.get(owner)) {
+        this.orphanedSince.delete(partition);
+        return [];
+      }
+      const since = this.orphanedSince.get(partition) ?? now;
+      this.orphanedSince.set(partition, since);
+      const rank = Math.floor((now - since) / CLAIM_DELAY_MS);
+      const isMine =
+        rank === 0
+          ? rendezvousWinner(eligible, partition, hash) === self
+          : rendezvousOrder(eligible, partition, hash).indexOf(self) <= rank;
+      return isMine ? [this.claimOf(partition)] : [];
+    });
+  }
+
+  private claimOf(partition: number): Reassignment {
+    const { table, self } = this.options;
+    return { partition, seenEpoch: table.get(partition).epoch, owner: self };
+  }
+
+  private async claim(changes: Reassignment[]): Promise<void> {
+    if (changes.length === 0) return;
+    const { table, log } = this.options;
+    changes.forEach(({ partition, seenEpoch }) => this.claimed.set(partition, seenEpoch + 1));
+    const done = await table.reassign(changes);
+    if (done.err) log.write('storeUnavailable', { reason: done.val.message });
+    else if (done.val.length > 0) log.write('partitionsClaimed', { count: done.val.length });
+  }
+
+  /** Gives partitions to the members that come first for them. */
+  private async handOver(): Promise<void> {
+    const { members, self, clock, hash, table, log } = this.options;
+    const now = clock.now();
+    const eligible = members.eligible();
+    const isLeaving = !eligible.includes(self);
+    const changes: Reassignment[] = [];
+    [...this.owned.keys()].some((partition) => {
+      const owner = rendezvousWinner(eligible, partition, hash) ?? self;
+      const knownSince = this.memberSince.get(owner) ?? now;
+      const isStable = isLeaving || now - knownSince >= STABLE_AFTER_MS;
+      const seenEpoch = table.get(partition).epoch;
+      if (owner !== self && isStable) changes.push({ partition, seenEpoch, owner });
+      return changes.length >= HANDOVERS_PER_ROUND;
+    });
+    if (changes.length === 0) return;
+    const done = await table.reassign(changes);
+    if (done.ok) log.write('partitionsHandedOver', { count: done.val.length });
+  }
+
+  /** Compares the table with what is owned, and notes gains and losses. */
+  private followTable(): void {
+    const { table, self, onLost } = this.options;
+    const lost: { partition: number; owner: string; epoch: number }[] = [];
+    table.all().forEach(({ owner, epoch }, partition) => {
+      const known = this.owned.get(partition);
+      if (owner === self && known?.epoch !== epoch) this.gain(partition, epoch);
+      if (owner !== self && known) {
+        this.owned.delete(partition);
+        lost.push({ partition, owner, epoch });
+      }
+      if (owner !== self) this.lastOwners[partition] = owner;
+    });
+    if (lost.length > 0) onLost(lost);
+  }
+
+  private gain(partition: number, epoch: number): void {
+    const isClaimed = this.claimed.get(partition) === epoch;
+    const awaiting = isClaimed ? '' : (this.lastOwners[partition] ?? '');
+    this.owned.set(partition, { epoch, awaiting, sinceMs: this.options.clock.now() });
+  }
+
+  private notOwner(partition: number): CallError {
+    const { owner } = this.options.table.get(partition);
+    const message = `partition ${partition} belongs to ${owner || 'nobody'}; ask that entry`;
+    return new CallError({ kind: 'not-owner', message, retryAfterMs: 100 });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/programOwner.ts
@@ -0,0 +1,451 @@
+import type { ConfigurationView } from '@marjorampin/configuration';
+import {
+  type Continuation,
+  createSegment,
+  isWholeChain,
+  openContinuation,
+  sealContinuation,
+} from '@marjorampin/history';
+import type { EventLog } from '@marjorampin/logging';
+import type { Metrics } from '@marjorampin/metrics';
+import {
+  CallError,
+  type Clock,
+  type Contract,
+  createProgramId,
+  customerPartitions,
+  digestOf,
+  type Segment,
+  type Service,
+  toCallError,
+  type TurnKind,
+} from '@marjorampin/types';
+import {
+  type Call,
+  type EndCall,
+  type HistoryCall,
+  type ModelCallBody,
+  type OpenCall,
+  type ServiceCallBody,
+  type SpawnCall,
+  type TurnAnswer,
+  type Usage,
+} from './calls';
+import { CustomerLimits } from './customerLimits';
+import type { EndpointDispatcher } from './endpointDispatcher';
+import type { HistoryKeeper } from './historyKeeper';
+import type { LedgerClient } from './ledgerClient';
+import { runModelTurn, worstCaseTokens } from './modelTurn';
+import type { Program } from './program';
+import type { ProgramRegistry } from './programRegistry';
+import { serviceCallKey, ServiceTurn } from './serviceTurn';
+
+const NO_USAGE = { inputTokens: 0, outputTokens: 0, cachedTokens: 0, rebuiltTokens: 0 };
+
+/** What an owner needs. */
+export interface ProgramOwnerOptions {
+  configuration: ConfigurationView;
+  registry: ProgramRegistry;
+  history: HistoryKeeper;
+  ledger: LedgerClient;
+  dispatcher: EndpointDispatcher;
+  clock: Clock;
+  log: EventLog;
+  metrics: Metrics;
+  /** Returns the epoch under which this process owns a partition; throws `not-owner`. */
+  epochOf(partition: number): Promise<number>;
+  /** Returns the share of a customer's partitions that this process owns, from 0 to 1. */
+  shareOf(partitions: number[]): number;
+  /** Lets the new owner of a program keep the turn that ran here; returns the holders. */
+  settleDeparted(program: Program, segment?: Segment): Promise<string[]>;
+}
+
+/** What a turn leaves behind. */
+interface TurnOutcome {
+  kind: TurnKind;
+  request: string;
+  answer: string;
+  usage: Omit<Usage, 'spentTokens' | 'grantedTokens'>;
+}
+
+interface TurnBody {
+  continuation: string;
+  transcript?: Segment[] | undefined;
+}
+
+/** Carries out the calls of the programs whose partitions this process owns. */
+export class ProgramOwner {
+  private readonly options: ProgramOwnerOptions;
+
+  private readonly limits: CustomerLimits;
+
+  constructor(options: ProgramOwnerOptions) {
+    this.options = options;
+    this.limits = new CustomerLimits({ clock: options.clock });
+  }
+
+  /** Carries out a call and returns its answer as JSON. */
+  async execute(call: Call): Promise<string> {
+    const epoch = await this.options.epochOf(call.partition);
+    const contract = this.contractOf(call.customer);
+    this.limits.admit(contract, this.shareOf(contract));
+    const body: unknown = JSON.parse(call.body);
+    switch (call.method) {
+      case 'open':
+        return this.open(call, body as OpenCall, contract, epoch);
+      case 'history':
+        return this.readHistory(call, body as HistoryCall, epoch);
+      default:
+        return this.takeTurn(call, body as TurnBody, contract, epoch);
+    }
+  }
+
+  private open(call: Call, body: OpenCall, contract: Contract, epoch: number): string {
+    const { registry, clock } = this.options;
+    const { customer, limits, programBudgetTokens, programLifetimeMs } = contract;
+    const share = this.shareOf(contract);
+    if (registry.countActive(customer) >= Math.ceil(limits.concurrentPrograms * share)) {
+      const message = `the contract of "${customer}" allows ${limits.concurrentPrograms} programs at once; end one or retry later`;
+      throw new CallError({ kind: 'rate-limited', message, retryAfterMs: 1_000 });
+    }
+    const granted = Math.min(body.budgetTokens ?? programBudgetTokens, programBudgetTokens);
+    const program = registry.create({
+      id: createProgramId({ customer, partition: call.partition }),
+      parent: '',
+      granted,
+      epoch,
+      expiresMs: clock.wallTime() + programLifetimeMs,
+    });
+    this.options.metrics.count('programs_opened_total', { customer });
+    return JSON.stringify(this.answer(program, 0, NO_USAGE));
+  }
+
+  private async readHistory(call: Call, body: HistoryCall, epoch: number): Promise<string> {
+    const continuation = this.openSealed(body.continuation, call);
+    const program = await this.options.registry.acquire(continuation, epoch);
+    checkChain(program, continuation);
+    return JSON.stringify({ program: program.id, turns: program.segments });
+  }
+
+  private async takeTurn(
+    call: Call,
+    body: TurnBody,
+    contract: Contract,
+    epoch: number,
+  ): Promise<string> {
+    const { registry } = this.options;
+    const continuation = this.openSealed(body.continuation, call);
+    this.checkExpiry(continuation);
+    const transcript = checkTranscript(body.transcript, continuation);
+    const program = await registry.acquire(continuation, epoch, transcript);
+    const { continuation: sealed, transcript: turns, ...request } = body;
+    const identity = digestOf(JSON.stringify([call.method, continuation.turn, request]));
+    return program.enqueue(identity, async () => {
+      const stored = findStored(program, continuation, identity);
+      if (stored) return JSON.stringify(this.repeat(program, stored));
+      await this.checkStillOwned(program);
+      return this.runTurn(call, body, contract, program, identity);
+    });
+  }
+
+  private async runTurn(
+    call: Call,
+    body: TurnBody,
+    contract: Contract,
+    program: Program,
+    identity: string,
+  ): Promise<string> {
+    try {
+      const outcome = await this.dispatchTurn(call, body, contract, program, identity);
+      await this.keep(program, outcome, identity);
+      if (outcome.kind === 'end') await this.finish(program);
+      return JSON.stringify(this.answer(program, program.turn, outcome.usage));
+    } catch (error) {
+      // The new owner waits for this call's end before it takes up the program.
+      if (program.departedTo) this.options.settleDeparted(program).catch(() => undefined);
+      throw error;
+    }
+  }
+
+  private async checkStillOwned(program: Program): Promise<void> {
+    const epoch = await this.options.epochOf(program.partition);
+    if (epoch === program.epoch) return;
+    const message = 'the program was taken over meanwhile; retry the call';
+    throw new CallError({ kind: 'not-owner', message, retryAfterMs: 100 });
+  }
+
+  private dispatchTurn(
+    call: Call,
+    body: TurnBody,
+    contract: Contract,
+    program: Program,
+    identity: string,
+  ): Promise<TurnOutcome> {
+    switch (call.method) {
+      case 'model':
+        return this.callModel(call, body as ModelCallBody, contract, program, identity);
+      case 'service':
+        return this.callService(body as ServiceCallBody, contract, program);
+      case 'spawn':
+        return this.spawn(body as SpawnCall, program);
+      default:
+        return Promise.resolve(end(body));
+    }
+  }
+
+  private async callModel(
+    call: Call,
+    body: ModelCallBody,
+    contract: Contract,
+    program: Program,
+    identity: string,
+  ): Promise<TurnOutcome> {
+    const { dispatcher, clock } = this.options;
+    const service = this.serviceOf(contract, body.service, 'model');
+    const worst = worstCaseTokens(body);
+    await program.budget.reserve(worst);
+    let spent = worst;
+    try {
+      const mayWait = contract.mayWait.includes(service.name);
+      const result = await runModelTurn({
+        program,
+        body,
+        service,
+        priority: mayWait ? 'background' : contract.priority,
+        identity: `${program.id}/${identity.slice(0, 16)}`,
+        dispatcher,
+        emittedText: call.emittedText,
+        onText: call.onText,
+        pause: (ms) => clock.sleep(ms),
+      });
+      spent = worst - body.maximumTokens + result.outputTokens;
+      program.addAttained(result.outputTokens);
+      const { text, ...usage } = result;
+      return { kind: 'model', request: body.input, answer: text, usage };
+    } catch (error) {
+      if (error instanceof CallError && error.execution === 'not-run') spent = 0;
+      throw error;
+    } finally {
+      program.budget.settle(worst, spent);
+    }
+  }
+
+  private async callService(
+    body: ServiceCallBody,
+    contract: Contract,
+    program: Program,
+  ): Promise<TurnOutcome> {
+    const { dispatcher, ledger, clock, log } = this.options;
+    const service = this.serviceOf(contract, body.service, 'plain');
+    const key = serviceCallKey(program.customer, body);
+    const isUnresolved = program.unresolvedCalls.has(key);
+    const mayHaveRunBefore = isUnresolved || program.recoveredAtTurn === program.turn;
+    await program.budget.reserve(service.costTokens);
+    program.unresolvedCalls.add(key);
+    let spent = service.costTokens;
+    try {
+      const options = { program, body, service, dispatcher, ledger, clock, log, mayHaveRunBefore };
+      const result = await new ServiceTurn(options).run();
+      program.unresolvedCalls.delete(key);
+      const request = `${body.operation} ${JSON.stringify(body.body)}`;
+      return { kind: 'service', request, answer: JSON.stringify(result), usage: NO_USAGE };
+    } catch (error) {
+      if (error instanceof CallError && error.execution === 'not-run') {
+        program.unresolvedCalls.delete(key);
+        spent = 0;
+      }
+      throw error;
+    } finally {
+      program.budget.settle(service.costTokens, spent);
+    }
+  }
+
+  private async spawn(body: SpawnCall, parent: Program): Promise<TurnOutcome> {
+    const { registry } = this.options;
+    const { budgetTokens } = body;
+    await parent.budget.reserve(budgetTokens);
+    parent.budget.settle(budgetTokens, budgetTokens);
+    const { customer, partition, epoch, expiresMs } = parent;
+    const id = createProgramId({ customer, partition });
+    const child = registry.create({
+      id,
+      parent: parent.id,
+      granted: budgetTokens,
+      epoch,
+      expiresMs,
+    });
+    const answer = JSON.stringify({ program: child.id, continuation: this.seal(child, 0) });
+    return { kind: 'spawn', request: String(budgetTokens), answer, usage: NO_USAGE };
+  }
+
+  /** Frees the engines' memory and gives an unused part of the budget back to the parent. */
+  private async finish(program: Program): Promise<void> {
+    const { registry } = this.options;
+    this.releaseContext(program);
+    const parent = registry.get(program.parent);
+    if (!parent || parent.epoch !== program.epoch) return;
+    const unused = program.budget.granted - program.budget.spent;
+    // The record keeps the part from being spent again by whoever recovers the sub-agent.
+    await program.budget.close();
+    parent.budget.refund(unused);
+  }
+
+  /** Asks every endpoint that the program visited to free its memory. */
+  private async releaseContext(program: Program): Promise<void> {
+    const { dispatcher } = this.options;
+    const fence = { partition: program.partition, epoch: program.epoch };
+    const value = { fence, program: program.id };
+    const endpoints = [...program.visitedEndpoints].flatMap(
+      (id) => dispatcher.directory.get(id)?.endpoint ?? [],
+    );
+    const options = { progressTimeoutMs: 2_000 };
+    await Promise.allSettled(
+      endpoints.map((endpoint) =>
+        dispatcher.send(endpoint, { case: 'releaseContext', value }, options),
+      ),
+    );
+  }
+
+  /** Chains the turn to the history and holds it at two entries. */
+  private async keep(program: Program, outcome: TurnOutcome, identity: string): Promise<void> {
+    const segment = createSegment({
+      program: program.id,
+      turn: program.turn + 1,
+      kind: outcome.kind,
+      request: outcome.request,
+      requestDigest: identity,
+      answer: outcome.answer,
+      previousDigest: program.digest,
+      spent: program.budget.spent,
+    });
+    program.append(segment, await this.hold(program, segment));
+  }
+
+  private async hold(program: Program, segment: Segment): Promise<string[]> {
+    const { history, settleDeparted } = this.options;
+    if (program.departedTo) return settleDeparted(program, segment);
+    const token = { partition: program.partition, epoch: program.epoch };
+    try {
+      return await history.store(token, [...program.segments, segment], program.holders);
+    } catch (thrown) {
+      if (program.departedTo) return settleDeparted(program, segment);
+      // The turn's action was executed, whatever became of its record.
+      const { kind, message, retryAfterMs } = toCallError(thrown);
+      throw new CallError({ kind, message, retryAfterMs, execution: 'unknown' });
+    }
+  }
+
+  private checkExpiry({ expiresMs }: Continuation): void {
+    if (this.options.clock.wallTime() <= expiresMs) return;
+    const message = 'the program expired under its contract; open a new one';
+    throw new CallError({ kind: 'program-expired', message });
+  }
+
+  private answer(program: Program, turn: number, usage: TurnOutcome['usage']): TurnAnswer {
+    const { granted } = program.budget;
+    const segment = program.segments[turn - 1];
+    const spentTokens = segment?.spent ?? program.budget.spent;
+    return {
+      program: program.id,
+      turn,
+      continuation: this.seal(program, turn),
+      usage: { ...usage, spentTokens, grantedTokens: granted },
+      ...contentOf(segment),
+    };
+  }
+
+  private repeat(program: Program, segment: Segment): TurnAnswer {
+    this.options.metrics.count('repeated_answers_total', { customer: program.customer });
+    return this.answer(program, segment.turn, NO_USAGE);
+  }
+
+  private seal(program: Program, turn: number): string {
+    return sealContinuation(program.continuationAt(turn), this.options.configuration.sealingKeys);
+  }
+
+  private openSealed(sealed: string, { customer, program }: Call): Continuation {
+    const { sealingKeys } = this.options.configuration;
+    const opened = openContinuation(sealed, sealingKeys, customer);
+    if (opened.err) throw opened.val;
+    if (opened.val.program === program) return opened.val;
+    const message = 'the continuation belongs to another program; use the one of its last answer';
+    throw new CallError({ kind: 'invalid-continuation', message });
+  }
+
+  private contractOf(customer: string): Contract {
+    const contract = this.options.configuration.contract(customer);
+    if (contract) return contract;
+    const message = `there is no contract for "${customer}"; ask the operators for one`;
+    throw new CallError({ kind: 'unknown-contract', message });
+  }
+
+  private serviceOf(contract: Contract, name: string, kind: Service['kind']): Service {
+    const service = this.options.configuration.service(name);
+    if (!service || service.kind !== kind) {
+      const message = `there is no ${kind} service "${name}"; use one of: ${contract.services.join(', ')}`;
+      throw new CallError({ kind: 'unknown-service', message });
+    }
+    if (contract.services.includes(name)) return service;
+    const message = `the contract of "${contract.customer}" does not include "${name}"; use one of: ${contract.services.join(', ')}`;
+    throw new CallError({ kind: 'forbidden', message });
+  }
+
+  private shareOf({ customer, partitions }: Contract): number {
+    return this.options.shareOf(customerPartitions(customer, partitions));
+  }
+}
+
+function contentOf(segment: Segment | undefined): Partial<TurnAnswer> {
+  switch (segment?.kind) {
+    case 'model':
+      return { text: segment.answer };
+    case 'service':
+      return JSON.parse(segment.answer) as Partial<TurnAnswer>;
+    case 'spawn':
+      return { child: JSON.parse(segment.answer) as NonNullable<TurnAnswer['child']> };
+    default:
+      return {};
+  }
+}
+
+function end(_body: EndCall): TurnOutcome {
+  return { kind: 'end', request: '', answer: '', usage: NO_USAGE };
+}
+
+function checkChain(program: Program, { turn, digest }: Continuation): void {
+  const known = program.segments[turn - 1]?.digest ?? '';
+  if (program.turn >= turn && known === digest) return;
+  const message = `the continuation's turn ${turn} is not part of the program's history; use the last answer's continuation`;
+  throw new CallError({ kind: 'out-of-turn', message });
+}
+
+function checkTranscript(
+  transcript: Segment[] | undefined,
+  { program, turn, digest }: Continuation,
+): Segment[] | undefined {
+  if (!transcript) return undefined;
+  const isOwn = transcript.every((segment) => segment.program === program);
+  const endsRight = transcript.length === turn && (transcript.at(-1)?.digest ?? '') === digest;
+  if (isOwn && endsRight && isWholeChain(transcript)) return transcript;
+  const message =
+    'the transcript is not the history that the continuation ends; send the turns as the history call returned them';
+  throw new CallError({ kind: 'invalid-request', message });
+}
+
+/** Returns the stored turn of a repeated request; throws when the call is out of turn. */
+function findStored(
+  program: Program,
+  continuation: Continuation,
+  identity: string,
+): Segment | undefined {
+  checkChain(program, continuation);
+  const next = program.segments[continuation.turn];
+  if (next?.requestDigest === identity) return next;
+  if (program.isEnded) {
+    const message = 'the program has ended; open a new one';
+    throw new CallError({ kind: 'program-ended', message });
+  }
+  if (!next) return undefined;
+  const message = `the program is at turn ${program.turn}, the call follows turn ${continuation.turn}; use the last answer's continuation`;
+  throw new CallError({ kind: 'out-of-turn', message });
+}
--- /dev/null
+++ b/packages/entry/src/programRegistry.ts
@@ -0,0 +1,185 @@
+import type { ConfigurationView } from '@marjorampin/configuration';
+import type { Continuation } from '@marjorampin/history';
+import type { EventLog } from '@marjorampin/logging';
+import { CallError, type Clock, parseProgramId, type Segment } from '@marjorampin/types';
+import { BudgetAccount, budgetKey } from './budgetAccount';
+import type { Handovers } from './handovers';
+import type { HistoryKeeper } from './historyKeeper';
+import type { LedgerClient } from './ledgerClient';
+import type { ProgramSnapshot } from './messages';
+import { Program } from './program';
+
+/** What the registry needs. */
+export interface ProgramRegistryOptions {
+  configuration: ConfigurationView;
+  history: HistoryKeeper;
+  ledger: LedgerClient;
+  handovers: Handovers;
+  clock: Clock;
+  log: EventLog;
+}
+
+/** What a new program starts from. */
+export interface NewProgram {
+  id: string;
+  parent: string;
+  granted: number;
+  epoch: number;
+  expiresMs: number;
+}
+
+/** The programs in the memory of their owner. */
+export class ProgramRegistry {
+  private readonly options: ProgramRegistryOptions;
+
+  private readonly programs = new Map<string, Program>();
+
+  private readonly recoveries = new Map<string, Promise<Program>>();
+
+  constructor(options: ProgramRegistryOptions) {
+    this.options = options;
+  }
+
+  get size(): number {
+    return this.programs.size;
+  }
+
+  /** Number of a customer's programs that have not ended. */
+  countActive(customer: string): number {
+    let count = 0;
+    this.programs.forEach((program) => {
+      if (program.customer === customer && !program.isEnded) count += 1;
+    });
+    return count;
+  }
+
+  /** Adds a program that starts now. */
+  create({ id, parent, granted, epoch, expiresMs }: NewProgram): Program {
+    const { customer, partition } = partsOf(id);
+    const { ledger } = this.options;
+    const budget = new BudgetAccount({ program: id, granted, epoch, ledger });
+    const program = new Program({ id, customer, parent, partition, epoch, budget, expiresMs });
+    this.programs.set(id, program);
+    return program;
+  }
+
+  /** Adds a program that its former owner handed over. */
+  add(program: Program): void {
+    this.programs.set(program.id, program);
+  }
+
+  /** Returns a program in memory. */
+  get(id: string): Program | undefined {
+    return this.programs.get(id);
+  }
+
+  /** Returns the programs of a partition. */
+  ofPartition(partition: number): Program[] {
+    return [...this.programs.values()].filter((program) => program.partition === partition);
+  }
+
+  /** Returns all programs. */
+  all(): Program[] {
+    return [...this.programs.values()];
+  }
+
+  /** Forgets a program. */
+  forget(id: string): void {
+    this.programs.delete(id);
+  }
+
+  /** Returns a program of an epoch, recovered from its history when it is not in memory. */
+  async acquire(
+    continuation: Continuation,
+    epoch: number,
+    transcript?: Segment[],
+  ): Promise<Program> {
+    const known = this.programs.get(continuation.program);
+    if (known?.epoch === epoch) return known;
+    const key = `${continuation.program}@${epoch}`;
+    const running = this.recoveries.get(key);
+    if (running) return running;
+    const recovery = this.recover(continuation, epoch, transcript).finally(() =>
+      this.recoveries.delete(key),
+    );
+    this.recoveries.set(key, recovery);
+    return recovery;
+  }
+
+  private async recover(
+    continuation: Continuation,
+    epoch: number,
+    transcript?: Segment[],
+  ): Promise<Program> {
+    const { ledger, handovers } = this.options;
+    const { program: id, parent, granted, expiresMs } = continuation;
+    const { customer, partition } = partsOf(id);
+    const exact = await handovers.take(id, epoch);
+    const holders = [...new Set([...(exact?.holders ?? []), ...continuation.holders])];
+    const segments = await this.findSegments({ ...continuation, holders }, epoch, transcript);
+    const budget = exact
+      ? new BudgetAccount({ program: id, granted, ...pickBudget(exact), epoch, ledger })
+      : await this.recoverBudget(id, granted, epoch);
+    const options = {
+      id,
+      customer,
+      parent,
+      partition,
+      epoch,
+      budget,
+      segments,
+      holders,
+      expiresMs,
+    };
+    const program = new Program({ ...options, warmEndpoint: exact?.warmEndpoint ?? '' });
+    exact?.visitedEndpoints.forEach((endpoint) => program.visitedEndpoints.add(endpoint));
+    if (!exact) program.recoveredAtTurn = program.turn;
+    this.programs.set(id, program);
+    return program;
+  }
+
+  private async findSegments(
+    continuation: Continuation,
+    epoch: number,
+    transcript?: Segment[],
+  ): Promise<Segment[]> {
+    const { history, log } = this.options;
+    const { program, turn } = continuation;
+    const token = { partition: partsOf(program).partition, epoch };
+    const segments = (await history.find(token, continuation)) ?? transcript;
+    if (segments) return segments;
+    log.write('historyHoldersLost', { program });
+    throw transcriptRequired(turn);
+  }
+
+  /** What the former owner spent last is not known, so all that it could have spent counts. */
+  private async recoverBudget(
+    program: string,
+    granted: number,
+    epoch: number,
+  ): Promise<BudgetAccount> {
+    const { ledger } = this.options;
+    const record = await ledger.read(budgetKey(program));
+    if (record.err) throw record.val;
+    const recorded = record.val?.granted ?? 0;
+    const budget = new BudgetAccount({ program, granted, recorded, epoch, ledger });
+    budget.assumeUpperBound();
+    return budget;
+  }
+}
+
+function pickBudget({ spent, recorded }: ProgramSnapshot): { spent: number; recorded: number } {
+  return { spent, recorded };
+}
+
+function partsOf(id: string): { customer: string; partition: number } {
+  const parts = parseProgramId(id);
+  if (parts) return parts;
+  const message = `"${id}" is not a program id; use the id that opening a program returned`;
+  throw new CallError({ kind: 'unknown-program', message });
+}
+
+function transcriptRequired(turn: number): CallError {
+  const message = `the ${turn} turns of this program can't be read from any holder; send them as "transcript", as the history call returned them`;
+  return new CallError({ kind: 'transcript-required', message, retryAfterMs: 1_000 });
+}
--- /dev/null
+++ b/packages/entry/src/serviceTurn.ts
@@ -0,0 +1,289 @@
+import { createLedgerRecord, type LedgerRecord } from '@marjorampin/ledger';
+import type { EventLog } from '@marjorampin/logging';
+import {
+  CallError,
+  type Clock,
+  digestOf,
+  type Endpoint,
+  type Service,
+  toCallError,
+} from '@marjorampin/types';
+import type { ServiceCallBody } from './calls';
+import type { EndpointDispatcher } from './endpointDispatcher';
+import type { LedgerClient } from './ledgerClient';
+import type { Program } from './program';
+
+/** Rounds of preparing, sending and resolving before a call is given up. */
+const MAXIMUM_ROUNDS = 8;
+const ROUND_PAUSE_MS = 40;
+
+/** An agent that does not say what became of a call for this long is taken as unreachable. */
+const VOID_TIMEOUT_MS = 3_000;
+
+/** A restarted agent is waited for this long, since it alone can prove a call's fate. */
+const UNREACHABLE_RETRY_MS = 5_000;
+
+/** What a service turn needs. */
+export interface ServiceTurnOptions {
+  program: Program;
+  body: ServiceCallBody;
+  service: Service;
+  dispatcher: EndpointDispatcher;
+  ledger: LedgerClient;
+  clock: Clock;
+  log: EventLog;
+  /** An earlier request may have run this call, unless the ledger says that it did not. */
+  mayHaveRunBefore: boolean;
+}
+
+/** What the service answered. */
+export interface ServiceTurnResult {
+  status: number;
+  body: string;
+}
+
+/** What one round led to: an answer, or another round after a pause. */
+type Round = { result: ServiceTurnResult } | { nextAttempt: number };
+
+/** Returns the ledger's key for a caller's idempotency key. */
+export function serviceCallKey(customer: string, { service, idempotencyKey }: ServiceCallBody) {
+  return `call/${customer}/${service}/${idempotencyKey}`;
+}
+
+/** Runs one service call; unless its operation is idempotent, it is executed at most once. */
+export class ServiceTurn {
+  private readonly options: ServiceTurnOptions;
+
+  private readonly key: string;
+
+  private readonly requestDigest: string;
+
+  private readonly bodyText: string;
+
+  private isLedgerRead = false;
+
+  constructor(options: ServiceTurnOptions) {
+    this.options = options;
+    const { body, program } = options;
+    this.key = serviceCallKey(program.customer, body);
+    this.bodyText = JSON.stringify(body.body);
+    this.requestDigest = digestOf(JSON.stringify([body.operation, this.bodyText]));
+  }
+
+  /** Returns the service's answer; the error's `execution` says what is proven otherwise. */
+  async run(): Promise<ServiceTurnResult> {
+    const { service, body } = this.options;
+    if (service.idempotentOperations.includes(body.operation)) return this.runIdempotent();
+    try {
+      return await this.runOnce();
+    } catch (thrown) {
+      throw this.withEarlierRequest(toCallError(thrown));
+    }
+  }
+
+  private async runOnce(): Promise<ServiceTurnResult> {
+    const { service } = this.options;
+    let attempt = 1;
+    for (let round = 1; round <= MAXIMUM_ROUNDS; round += 1) {
+      const outcome = await this.runRound(attempt);
+      if ('result' in outcome) return outcome.result;
+      attempt = outcome.nextAttempt;
+      await this.options.clock.sleep(ROUND_PAUSE_MS * round);
+    }
+    const message = `no endpoint of "${service.name}" took the call; retry later with the same key`;
+    throw new CallError({ kind: 'no-endpoint', message, retryAfterMs: 2_000 });
+  }
+
+  /** "Not run" is not proven while the ledger was not read and an earlier request may have run. */
+  private withEarlierRequest(error: CallError): CallError {
+    const isProven = this.isLedgerRead || !this.options.mayHaveRunBefore;
+    if (isProven || error.execution !== 'not-run') return error;
+    const { kind, message, retryAfterMs } = error;
+    return new CallError({ kind, message, retryAfterMs, execution: 'unknown' });
+  }
+
+  private async runIdempotent(): Promise<ServiceTurnResult> {
+    const tried = new Set<string>();
+    for (let round = 1; ; round += 1) {
+      const endpoint = await this.chooseEndpoint(tried);
+      try {
+        return await this.dispatch(endpoint, round, true);
+      } catch (thrown) {
+        const error = toCallError(thrown);
+        if (round >= MAXIMUM_ROUNDS || error.kind === 'stale-epoch') throw error;
+        tried.add(endpoint.id);
+        await this.options.clock.sleep(ROUND_PAUSE_MS * round);
+      }
+    }
+  }
+
+  private async runRound(attempt: number): Promise<Round> {
+    const endpoint = await this.chooseEndpoint(new Set());
+    const intent = this.record('intent', attempt, endpoint);
+    const appended = await this.options.ledger.append(intent);
+    if (appended.err) throw appended.val;
+    this.isLedgerRead = true;
+    const [standing] = appended.val.standing;
+    if (!appended.val.appended) return this.follow(standing, attempt);
+    try {
+      const result = await this.dispatch(endpoint, attempt, false);
+      this.recordOutcome(intent, result);
+      return { result };
+    } catch (thrown) {
+      return this.resolveFailure(intent, toCallError(thrown));
+    }
+  }
+
+  /** Goes by what the ledger already says about the key. */
+  private async follow(standing: LedgerRecord | undefined, attempt: number): Promise<Round> {
+    if (!standing) return { nextAttempt: 1 };
+    if (standing.requestDigest !== this.requestDigest) throw keyReused();
+    switch (standing.kind) {
+      case 'outcome':
+        return { result: { status: standing.status, body: standing.body } };
+      case 'unknown':
+        throw this.unknownForGood();
+      case 'not-run':
+        return { nextAttempt: standing.attempt + 1 };
+      case 'intent':
+        return this.resolveIntent(standing);
+      default:
+        return { nextAttempt: attempt };
+    }
+  }
+
+  private async resolveFailure(intent: LedgerRecord, error: CallError): Promise<Round> {
+    // A stale epoch was refused by the agent; the new owner voids the intent.
+    if (error.kind === 'stale-epoch') throw error;
+    // Somebody else voided the intent and records that it did not run.
+    if (error.kind === 'voided') return { nextAttempt: intent.attempt };
+    if (error.execution === 'not-run') return this.recordNotRun(intent);
+    return this.resolveIntent(intent);
+  }
+
+  /** Asks the agent that an intent names what became of the call. */
+  private async resolveIntent(intent: LedgerRecord): Promise<Round> {
+    const { dispatcher } = this.options;
+    const current = dispatcher.directory.get(intent.endpoint)?.endpoint;
+    if (!current || current.incarnation !== intent.incarnation) return this.recordUnknown(intent);
+    const value = {
+      fence: this.fence(),
+      key: this.key,
+      attempt: intent.attempt,
+      incarnation: intent.incarnation,
+    };
+    const options = { progressTimeoutMs: VOID_TIMEOUT_MS };
+    const reply = await dispatcher
+      .send(current, { case: 'voidCall', value }, options)
+      .catch((thrown: unknown) => {
+        const error = toCallError(thrown);
+        if (error.kind === 'stale-epoch') throw error;
+        return undefined;
+      });
+    if (reply?.body.case !== 'voidResult') throw unknownForNow();
+    const { outcome, result } = reply.body.value;
+    if (outcome === 'refused') return this.recordNotRun(intent);
+    if (outcome !== 'done' || !result) return this.recordUnknown(intent);
+    const { status, body } = result;
+    this.recordOutcome(intent, { status, body });
+    return { result: { status, body } };
+  }
+
+  private async recordNotRun(intent: LedgerRecord): Promise<Round> {
+    this.options.log.write('callVoided', { key: this.key, attempt: intent.attempt });
+    const appended = await this.options.ledger.append({ ...intent, kind: 'not-run' });
+    if (appended.err) throw appended.val;
+    return { nextAttempt: intent.attempt + 1 };
+  }
+
+  private async recordUnknown(intent: LedgerRecord): Promise<Round> {
+    const { endpoint, attempt } = intent;
+    this.options.log.write('outcomeUnknown', { key: this.key, endpoint, attempt });
+    const appended = await this.options.ledger.append({ ...intent, kind: 'unknown' });
+    const [standing] = appended.ok ? appended.val.standing : [];
+    if (appended.ok && !appended.val.appended && standing?.kind === 'outcome') {
+      return { result: { status: standing.status, body: standing.body } };
+    }
+    throw this.unknownForGood();
+  }
+
+  /** Records the outcome without holding the answer back; then the agent may forget the call. */
+  private async recordOutcome(intent: LedgerRecord, result: ServiceTurnResult): Promise<void> {
+    const { ledger, dispatcher } = this.options;
+    const appended = await ledger.append({ ...intent, kind: 'outcome', ...result });
+    const endpoint = dispatcher.find(intent.endpoint, intent.incarnation);
+    if (appended.err || !appended.val.appended || !endpoint) return;
+    const value = { keys: [`${this.key}#${intent.attempt}`] };
+    const options = { progressTimeoutMs: VOID_TIMEOUT_MS };
+    await dispatcher.send(endpoint, { case: 'settleCalls', value }, options).catch(() => undefined);
+  }
+
+  private async dispatch(
+    endpoint: Endpoint,
+    attempt: number,
+    idempotent: boolean,
+  ): Promise<ServiceTurnResult> {
+    const { program, body, service, dispatcher } = this.options;
+    const value = {
+      fence: this.fence(),
+      program: program.id,
+      key: this.key,
+      attempt,
+      incarnation: endpoint.incarnation,
+      operation: body.operation,
+      body: this.bodyText,
+      idempotent,
+      deadlineMs: body.deadlineMs,
+    };
+    const progressTimeoutMs = Math.min(body.deadlineMs, service.progressTimeoutMs);
+    const options = { progressTimeoutMs };
+    const reply = await dispatcher.send(endpoint, { case: 'serviceCall', value }, options);
+    if (reply.body.case !== 'serviceResult') {
+      const message = `the agent answered a service call with "${reply.body.case}"; update the agent`;
+      throw new CallError({ kind: 'internal', message, execution: 'unknown' });
+    }
+    return { status: reply.body.value.status, body: reply.body.value.body };
+  }
+
+  private async chooseEndpoint(tried: Set<string>): Promise<Endpoint> {
+    const { dispatcher, body } = this.options;
+    const request = { warmEndpoint: '', contextTokens: 0, wastedCachePriceMs: 0 };
+    const { endpoint } = await dispatcher.choose(body.service, request, tried);
+    return endpoint;
+  }
+
+  private record(kind: 'intent', attempt: number, endpoint: Endpoint): LedgerRecord {
+    const { program } = this.options;
+    return createLedgerRecord({
+      key: this.key,
+      kind,
+      program: program.id,
+      epoch: program.epoch,
+      attempt,
+      endpoint: endpoint.id,
+      incarnation: endpoint.incarnation,
+      requestDigest: this.requestDigest,
+    });
+  }
+
+  private fence() {
+    const { partition, epoch } = this.options.program;
+    return { partition, epoch };
+  }
+
+  private unknownForGood(): CallError {
+    const message = `the endpoint of this call was replaced before it answered, so it may have run; ask the service by key "${this.options.body.idempotencyKey}", it is not run again`;
+    return new CallError({ kind: 'outcome-unknown', message, execution: 'unknown' });
+  }
+}
+
+function keyReused(): CallError {
+  const message = `the idempotency key was used for another request; use a new key for a new request`;
+  return new CallError({ kind: 'key-reused', message });
+}
+
+function unknownForNow(): CallError {
+  const message = 'the endpoint does not say whether the call ran; repeat it with the same key';
+  const retryAfterMs = UNREACHABLE_RETRY_MS;
+  return new CallError({ kind: 'outcome-unknown', message, execution: 'unknown', retryAfterMs });
+}
--- /dev/null
+++ b/packages/logging/src/index.ts
@@ -0,0 +1,3 @@
+/** Numbered events and where they are written. */
+export * from './eventLog';
+export * from './events';
--- /dev/null
+++ b/packages/metrics/src/index.ts
@@ -0,0 +1,2 @@
+/** Counters and latencies of one process, in the usual text format. */
+export * from './metrics';
--- /dev/null
+++ b/packages/metrics/src/metrics.ts
@@ -0,0 +1,96 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+import { Counter, Gauge, Registry } from 'prom-client';
+
+const QUANTILES = [0.5, 0.95, 0.99];
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Labels of a counter or latency. */
+export type Labels = Record<string, string>;
+
+interface Latency {
+  name: string;
+  labels: Labels;
+  histogram: Histogram;
+}
+
+/** Counts and latencies of one process. */
+export class Metrics {
+  private readonly registry = new Registry();
+
+  private readonly counters = new Map<string, Counter>();
+
+  private readonly latencies = new Map<string, Latency>();
+
+  /** Adds to a counter. */
+  count(name: string, labels: Labels = {}, amount = 1): void {
+    const counter = this.counters.get(name) ?? this.createCounter(name, Object.keys(labels));
+    counter.inc(labels, amount);
+  }
+
+  /** Reports a value that is read whenever the metrics are. */
+  gauge(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: `marjorampin_${name}`,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+
+  /** Records a duration in milliseconds. */
+  observe(name: string, labels: Labels, ms: number): void {
+    const key = `${name}${JSON.stringify(labels)}`;
+    const latency = this.latencies.get(key) ?? this.createLatency(key, name, labels);
+    latency.histogram.recordValue(Math.max(1, Math.round(ms * MICROSECONDS_PER_MS)));
+  }
+
+  /** Returns a quantile in milliseconds over all label sets of a latency. */
+  quantile(name: string, quantile: number): number {
+    const merged = build({ useWebAssembly: false });
+    this.latencies.forEach((latency) => {
+      if (latency.name === name) merged.add(latency.histogram);
+    });
+    return merged.getValueAtPercentile(quantile * 100) / MICROSECONDS_PER_MS;
+  }
+
+  /** Returns everything in the Prometheus text format. */
+  async render(): Promise<string> {
+    const counters = await this.registry.metrics();
+    const latencies = [...this.latencies.values()].flatMap((latency) => renderLatency(latency));
+    return `${counters}${latencies.join('\n')}\n`;
+  }
+
+  private createCounter(name: string, labelNames: string[]): Counter {
+    const counter = new Counter({
+      name: `marjorampin_${name}`,
+      help: name.replaceAll('_', ' '),
+      labelNames,
+      registers: [this.registry],
+    });
+    this.counters.set(name, counter);
+    return counter;
+  }
+
+  private createLatency(key: string, name: string, labels: Labels): Latency {
+    const latency = { name, labels, histogram: build({ useWebAssembly: false }) };
+    this.latencies.set(key, latency);
+    return latency;
+  }
+}
+
+function renderLatency({ name, labels, histogram }: Latency): string[] {
+  const metric = `marjorampin_${name}_seconds`;
+  const pairs = Object.entries(labels).map(([label, value]) => `${label}=${JSON.stringify(value)}`);
+  const seconds = (quantile: number) => histogram.getValueAtPercentile(quantile * 100) / 1e6;
+  const rows = QUANTILES.map((quantile) => {
+    const all = [...pairs, `quantile="${quantile}"`].join(',');
+    return `${metric}{${all}} ${seconds(quantile)}`;
+  });
+  const sum = (histogram.mean * histogram.totalCount) / 1e6;
+  const own = pairs.length > 0 ? `{${pairs.join(',')}}` : '';
+  return [
+    ...rows,
+    `${metric}_sum${own} ${sum || 0}`,
+    `${metric}_count${own} ${histogram.totalCount}`,
+  ];
+}
--- /dev/null
+++ b/packages/platform/src/memoryKeyValueStore.ts
@@ -0,0 +1,168 @@
+import { Err, Ok, type Result } from '@marjorampin/types';
+import {
+  type Changes,
+  type CompareAndSwap,
+  KeyValueStore,
+  type Snapshot,
+  type StoredValue,
+  StoreError,
+} from './keyValueStore';
+
+/** What goes wrong with the next requests to a store in memory. */
+export interface StoreFaults {
+  /** Every request fails. */
+  down: boolean;
+  /** Every answer takes this much longer. */
+  slowMs: number;
+  /** This many writes take effect with their answers lost. */
+  loseAnswers: number;
+}
+
+/** Counts of requests by type. */
+export interface StoreCounts {
+  reads: number;
+  writes: number;
+  watches: number;
+}
+
+const conflict = () =>
+  new StoreError({
+    kind: 'conflict',
+    message: 'the key was changed by another writer; read it again and retry',
+  });
+
+const unavailable = () =>
+  new StoreError({ kind: 'unavailable', message: 'the store is down; retry later' });
+
+/** A key-value store in memory with switches for its failures. */
+export class MemoryKeyValueStore extends KeyValueStore {
+  readonly faults: StoreFaults = { down: false, slowMs: 0, loseAnswers: 0 };
+
+  readonly counts: StoreCounts = { reads: 0, writes: 0, watches: 0 };
+
+  private readonly values = new Map<string, StoredValue & { revision: number }>();
+
+  private readonly removals = new Map<string, number>();
+
+  private revision = 0;
+
+  private waiters: (() => void)[] = [];
+
+  override async get(key: string): Promise<Result<StoredValue | undefined, StoreError>> {
+    this.counts.reads += 1;
+    await this.pause();
+    if (this.faults.down) return Err(unavailable());
+    return Ok(this.values.get(key));
+  }
+
+  override async list(prefix: string): Promise<Result<Snapshot, StoreError>> {
+    this.counts.reads += 1;
+    await this.pause();
+    if (this.faults.down) return Err(unavailable());
+    return Ok(this.snapshot(prefix));
+  }
+
+  override async compareAndSwap(write: CompareAndSwap): Promise<Result<number, StoreError>> {
+    this.counts.writes += 1;
+    await this.pause();
+    if (this.faults.down) return Err(unavailable());
+    const { key, value, expectedVersion } = write;
+    if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return Err(conflict());
+    const version = expectedVersion + 1;
+    this.revision += 1;
+    this.removals.delete(key);
+    this.values.set(key, { key, value, version, revision: this.revision });
+    this.wake();
+    if (this.consumeLostAnswer()) return Err(this.lostAnswer());
+    return Ok(version);
+  }
+
+  override async remove(key: string, expectedVersion: number): Promise<Result<void, StoreError>> {
+    this.counts.writes += 1;
+    await this.pause();
+    if (this.faults.down) return Err(unavailable());
+    if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return Err(conflict());
+    this.revision += 1;
+    this.values.delete(key);
+    this.removals.set(key, this.revision);
+    this.wake();
+    if (this.consumeLostAnswer()) return Err(this.lostAnswer());
+    return Ok(undefined);
+  }
+
+  override async watch(
+    prefix: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<Result<Changes, StoreError>> {
+    this.counts.watches += 1;
+    if (this.faults.down) return Err(unavailable());
+    const deadline = performance.now() + waitMs;
+    let changes = this.changesSince(prefix, revision);
+    while (changes.values.length + changes.removed.length === 0) {
+      const leftMs = deadline - performance.now();
+      if (leftMs <= 0) break;
+      await this.nextChange(leftMs);
+      if (this.faults.down) return Err(unavailable());
+      changes = this.changesSince(prefix, revision);
+    }
+    return Ok(changes);
+  }
+
+  /** Makes every waiting watch look again, so that an outage reaches it. */
+  interruptWatches(): void {
+    this.wake();
+  }
+
+  private changesSince(prefix: string, revision: number): Changes {
+    const values = [...this.values.values()]
+      .filter((stored) => stored.key.startsWith(prefix) && stored.revision > revision)
+      .map(({ key, value, version }) => ({ key, value, version }));
+    const removed = [...this.removals]
+      .filter(([key, removedAt]) => key.startsWith(prefix) && removedAt > revision)
+      .map(([key]) => key);
+    return { revision: this.revision, values, removed, complete: false };
+  }
+
+  private snapshot(prefix: string): Snapshot {
+    const values = [...this.values.values()]
+      .filter((stored) => stored.key.startsWith(prefix))
+      .map(({ key, value, version }) => ({ key, value, version }));
+    return { revision: this.revision, values };
+  }
+
+  private async nextChange(waitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, waitMs);
+      timer.unref();
+      this.waiters.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  private wake(): void {
+    const ready = this.waiters;
+    this.waiters = [];
+    ready.forEach((resolve) => resolve());
+  }
+
+  private consumeLostAnswer(): boolean {
+    if (this.faults.loseAnswers === 0) return false;
+    this.faults.loseAnswers -= 1;
+    return true;
+  }
+
+  private lostAnswer(): StoreError {
+    const message = `the answer to the write was lost at revision ${this.revision}; read it back`;
+    return new StoreError({ kind: 'ambiguous', message });
+  }
+
+  private async pause(): Promise<void> {
+    if (this.faults.slowMs === 0) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, this.faults.slowMs);
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/watchedPrefix.ts
@@ -0,0 +1,103 @@
+import type { Clock } from '@marjorampin/types';
+import type { Changes, KeyValueStore, StoredValue } from './keyValueStore';
+
+const WATCH_WAIT_MS = 30_000;
+const RETRY_PAUSE_MS = 250;
+
+/** What to watch. */
+export interface WatchedPrefixOptions {
+  store: KeyValueStore;
+  prefix: string;
+  clock: Clock;
+}
+
+/** A copy of all values below a prefix; keeps the last known state while the store is down. */
+export class WatchedPrefix {
+  private readonly options: WatchedPrefixOptions;
+
+  private readonly values = new Map<string, StoredValue>();
+
+  private readonly listeners: (() => void)[] = [];
+
+  private readonly stopped = new AbortController();
+
+  private revision = 0;
+
+  constructor(options: WatchedPrefixOptions) {
+    this.options = options;
+  }
+
+  /** Reads the present state once, then follows changes in the background. */
+  async start(): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      const { store, prefix, clock } = this.options;
+      const listed = await store.list(prefix);
+      if (listed.ok) {
+        this.apply({ ...listed.val, removed: [], complete: true });
+        break;
+      }
+      await clock.sleep(RETRY_PAUSE_MS, this.stopped.signal).catch(() => undefined);
+    }
+    this.follow();
+  }
+
+  /** Stops following. */
+  stop(): void {
+    this.stopped.abort();
+  }
+
+  /** Calls the listener after every change. */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Returns one value as it was last seen. */
+  get(key: string): StoredValue | undefined {
+    return this.values.get(key);
+  }
+
+  /** Returns all values as they were last seen. */
+  all(): StoredValue[] {
+    return [...this.values.values()];
+  }
+
+  /** Takes in a value that this process wrote itself, ahead of the watch. */
+  learn(stored: StoredValue): void {
+    const known = this.values.get(stored.key);
+    if (known && known.version >= stored.version) return;
+    this.values.set(stored.key, stored);
+    this.listeners.forEach((listener) => listener());
+  }
+
+  private async follow(): Promise<void> {
+    const { store, prefix, clock } = this.options;
+    while (!this.stopped.signal.aborted) {
+      const changes = await store.watch(prefix, this.revision, WATCH_WAIT_MS);
+      if (changes.ok) {
+        this.apply(changes.val);
+      } else {
+        await clock.sleep(RETRY_PAUSE_MS, this.stopped.signal).catch(() => undefined);
+      }
+    }
+  }
+
+  private apply({ revision, values, removed, complete }: Changes): void {
+    if (complete) this.dropAbsent(values);
+    values.forEach((stored) => {
+      const known = this.values.get(stored.key);
+      // A key that was removed and written anew starts again at a low version.
+      if (known && known.version > stored.version && revision <= this.revision) return;
+      this.values.set(stored.key, stored);
+    });
+    removed.forEach((key) => this.values.delete(key));
+    this.revision = Math.max(this.revision, revision);
+    if (values.length + removed.length > 0) this.listeners.forEach((listener) => listener());
+  }
+
+  private dropAbsent(values: StoredValue[]): void {
+    const present = new Set(values.map(({ key }) => key));
+    [...this.values.keys()].forEach((key) => {
+      if (!present.has(key)) this.values.delete(key);
+    });
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/peerPool.ts
@@ -0,0 +1,45 @@
+import type { Clock } from '@marjorampin/types';
+import { PeerClient } from './peerClient';
+import type { PeerHandler } from './peerChannel';
+import type { TlsFiles } from './tlsFiles';
+
+/** What all connections of a process share. */
+export interface PeerPoolOptions {
+  handler: PeerHandler;
+  clock: Clock;
+  tls?: TlsFiles | undefined;
+}
+
+/** One connection for each peer that this process talks to. */
+export class PeerPool {
+  private readonly options: PeerPoolOptions;
+
+  private readonly clients = new Map<string, PeerClient>();
+
+  constructor(options: PeerPoolOptions) {
+    this.options = options;
+  }
+
+  /** Returns the connection to an address, opened at its first use. */
+  get(address: string): PeerClient {
+    const existing = this.clients.get(address);
+    if (existing) return existing;
+    const client = new PeerClient({ address, ...this.options });
+    this.clients.set(address, client);
+    return client;
+  }
+
+  /** Closes connections to addresses outside the set. */
+  retain(addresses: Set<string>): void {
+    [...this.clients].forEach(([address, client]) => {
+      if (addresses.has(address)) return;
+      client.close();
+      this.clients.delete(address);
+    });
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.retain(new Set());
+  }
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,3 @@
+/** Which endpoint gets a call. */
+export * from './chooseEndpoint';
+export * from './endpointDirectory';
--- /dev/null
+++ b/packages/scripts/src/index.ts
@@ -0,0 +1,3 @@
+/** Programs written as lists of steps, and what plays them. */
+export * from './playProgram';
+export * from './programScript';
--- /dev/null
+++ b/packages/standins/src/engineStandin.ts
@@ -0,0 +1,106 @@
+import { type H3, type H3Event, readBody } from 'h3';
+import { SystemClock } from '@marjorampin/types';
+import { type EngineFaults, EngineModel, type Generation } from './engineModel';
+import { HttpStandin } from './httpStandin';
+
+/** An order to an engine, numbered so that an old one can be refused. */
+export interface EngineOrder {
+  fencingNumber: number;
+  model: string;
+}
+
+/** Speed, size and habits of the stand-in engine. */
+export interface EngineStandinOptions {
+  prefillTokensPerMs?: number;
+  decodeStepMs?: number;
+  batchSize?: number;
+  cacheTokens?: number;
+  /** Refuses orders that carry an old fencing number. */
+  checksFencing?: boolean;
+}
+
+type GenerationBody = Omit<Generation, 'onText'>;
+
+/** A model engine over HTTP. */
+export class EngineStandin extends HttpStandin {
+  readonly model: EngineModel;
+
+  readonly orders: EngineOrder[] = [];
+
+  private readonly checksFencing: boolean;
+
+  private highestFencingNumber = 0;
+
+  constructor({ checksFencing = true, ...speed }: EngineStandinOptions = {}) {
+    super();
+    this.model = new EngineModel({ clock: new SystemClock(), ...speed });
+    this.checksFencing = checksFencing;
+  }
+
+  protected override addRoutes(app: H3): void {
+    app.post('/generate', (event) => this.generate(event));
+    app.post('/cancel', async (event) => {
+      this.model.cancel((await readBody<{ request: string }>(event))?.request ?? '');
+      return { cancelled: true };
+    });
+    app.post('/release', async (event) => {
+      this.model.cache.release((await readBody<{ program: string }>(event))?.program ?? '');
+      return { released: true };
+    });
+    app.get('/load', () => this.load());
+    app.get('/held', () => this.model.cache.holders());
+    app.get('/totals', () => this.model.totals);
+    app.post('/export', async (event) => {
+      const program = (await readBody<{ program: string }>(event))?.program ?? '';
+      return { program, blocks: this.model.cache.exportProgram(program) };
+    });
+    app.post('/import', async (event) => {
+      const body = await readBody<{ program: string; blocks: string[] }>(event);
+      if (body) this.model.cache.importProgram(body.program, body.blocks);
+      return { imported: true };
+    });
+    app.post('/orders', async (event) => this.order(event));
+    app.post('/faults', async (event) =>
+      Object.assign(this.model.faults, await readBody<Partial<EngineFaults>>(event)),
+    );
+  }
+
+  private load() {
+    const { runningCount, queuedCount, cache } = this.model;
+    return { running: runningCount, queued: queuedCount, cachedTokens: cache.usedTokens };
+  }
+
+  private async order(event: H3Event) {
+    const order = await readBody<EngineOrder>(event);
+    if (!order) return new Response('missing order', { status: 400 });
+    if (this.checksFencing && order.fencingNumber < this.highestFencingNumber) {
+      return new Response('old fencing number', { status: 409 });
+    }
+    this.highestFencingNumber = Math.max(this.highestFencingNumber, order.fencingNumber);
+    this.orders.push(order);
+    return { accepted: true };
+  }
+
+  private async generate(event: H3Event): Promise<Response> {
+    const body = await readBody<GenerationBody>(event);
+    if (!body) return new Response('missing body', { status: 400 });
+    const { model } = this;
+    const encoder = new TextEncoder();
+    let isOpen = true;
+    const stream = new ReadableStream<Uint8Array>({
+      async start(controller) {
+        const send = (value: unknown) => {
+          if (isOpen) controller.enqueue(encoder.encode(`data: ${JSON.stringify(value)}\n\n`));
+        };
+        const result = await model.generate({ ...body, onText: (text) => send({ text }) });
+        send({ result: result ?? null });
+        if (isOpen) controller.close();
+      },
+      cancel() {
+        isOpen = false;
+        model.cancel(body.request);
+      },
+    });
+    return new Response(stream, { headers: { 'content-type': 'text/event-stream' } });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,6 @@
+/** Stand-ins for the systems outside: model engines, plain services, the platform. */
+export * from './engineModel';
+export * from './engineStandin';
+export * from './platformStandin';
+export * from './prefixCache';
+export * from './serviceStandin';
--- /dev/null
+++ b/packages/standins/src/platformStandin.ts
@@ -0,0 +1,67 @@
+import type { Result } from '@marjorampin/types';
+import { type H3, type H3Event, getQuery, readBody } from 'h3';
+import {
+  type Changes,
+  MemoryKeyValueStore,
+  type StoreError,
+  type StoreFaults,
+} from '@marjorampin/platform';
+import { HttpStandin } from './httpStandin';
+
+const STATUS = { conflict: 409, unavailable: 503, ambiguous: 500 } as const;
+
+/** The platform's key-value service and host list over HTTP. */
+export class PlatformStandin extends HttpStandin {
+  readonly store = new MemoryKeyValueStore();
+
+  protected override addRoutes(app: H3): void {
+    app.get('/kv/:key', (event) => this.get(event));
+    app.put('/kv/:key', (event) => this.put(event));
+    app.delete('/kv/:key', async (event) => {
+      const version = Number(getQuery(event).version);
+      return answer(await this.store.remove(keyOf(event), version));
+    });
+    app.get('/list', async (event) =>
+      answer(await this.store.list(String(getQuery(event).prefix ?? ''))),
+    );
+    app.get('/watch', (event) => this.watch(event));
+    app.get('/counts', () => this.store.counts);
+    app.post('/faults', async (event) => {
+      Object.assign(this.store.faults, await readBody<Partial<StoreFaults>>(event));
+      this.store.interruptWatches();
+      return this.store.faults;
+    });
+  }
+
+  private async get(event: H3Event): Promise<Response> {
+    const read = await this.store.get(keyOf(event));
+    if (read.ok && !read.val) return new Response(null, { status: 404 });
+    return answer(read);
+  }
+
+  private async put(event: H3Event): Promise<Response> {
+    const body = await readBody<{ value: string; expectedVersion: number }>(event);
+    if (!body) return new Response('missing body', { status: 400 });
+    const written = await this.store.compareAndSwap({ key: keyOf(event), ...body });
+    return answer(written.map((version) => ({ version })));
+  }
+
+  private async watch(event: H3Event): Promise<Response> {
+    const { prefix, after, wait } = getQuery(event);
+    const seen: Result<Changes, StoreError> = await this.store.watch(
+      String(prefix ?? ''),
+      Number(after),
+      Number(wait),
+    );
+    return answer(seen);
+  }
+}
+
+function keyOf(event: H3Event): string {
+  return decodeURIComponent(event.context.params?.key ?? '');
+}
+
+function answer(result: Result<unknown, StoreError>): Response {
+  if (result.err) return new Response(result.val.message, { status: STATUS[result.val.kind] });
+  return Response.json(result.val ?? null);
+}
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,10 @@
+/** Types shared by all packages. */
+export * from './callError';
+export * from './clock';
+export * from './contract';
+export * from './epochFence';
+export * from './peerAddress';
+export * from './program';
+export * from './result';
+export * from './tokens';
+export * from './turn';
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,40 @@
+/** Builds the single executable `dist/marjorampin`. */
+import { execFileSync } from 'node:child_process';
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
+import { build } from 'esbuild';
+
+const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+const BUNDLE = 'dist/marjorampin.cjs';
+const BLOB = 'dist/marjorampin.blob';
+const BINARY = 'dist/marjorampin';
+
+mkdirSync('dist', { recursive: true });
+await build({
+  entryPoints: ['packages/cli/src/main.ts'],
+  outfile: BUNDLE,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  // The module builds come first: the others ask for helpers at run time.
+  mainFields: ['module', 'main'],
+  external: ['dtrace-provider', 'mv', 'source-map-support'],
+  // Node warns at the first require() of a single executable, before any module runs.
+  banner: { js: "process.removeAllListeners('warning');" },
+  logLevel: 'warning',
+});
+writeFileSync(
+  'dist/sea.json',
+  JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], {
+  stdio: 'inherit',
+});
+copyFileSync(process.execPath, BINARY);
+chmodSync(BINARY, 0o755);
+execFileSync(
+  process.execPath,
+  ['node_modules/postject/dist/cli.js', BINARY, 'NODE_SEA_BLOB', BLOB, '--sentinel-fuse', SENTINEL],
+  { stdio: 'inherit' },
+);
+console.log(`built ${BINARY}`);
