At-most-once calls proved over interleavings; a void refused by epoch no longer says not run

Ruled out: the ledger (the intent stood) and the register (it knew the call). Change: a void that is refused by epoch reports the call as unknown and lets the new owner resolve it. The property runs real ledger shard, call register, fence and service turn over lost, delayed and refused messages and writes. Conclusion: executions per key stay at most one; "not run" is said only of calls that did not run.

--- a/packages/development/src/__tests__/goldenSessions.test.ts
+++ b/packages/development/src/__tests__/goldenSessions.test.ts
@@ -1,15 +1,17 @@
 import assert from 'node:assert/strict';
 import { existsSync, readFileSync, writeFileSync } from 'node:fs';
-import { join } from 'node:path';
+import { dirname, join } from 'node:path';
 import test from 'node:test';
+import { fileURLToPath } from 'node:url';
 import { CallerClient } from '@marjorampin/client';
 import { configurationFileSchema } from '@marjorampin/configuration';
 import { type PlayedProgram, playProgram, programScriptsSchema } from '@marjorampin/scripts';
 import { readToml } from '@marjorampin/settings';
 import { DevelopmentCluster } from '../developmentCluster';
 
-const EXAMPLES = join(import.meta.dirname, '../../../../examples');
-const FIXTURES = join(import.meta.dirname, '__fixtures__');
+const HERE = dirname(fileURLToPath(import.meta.url));
+const EXAMPLES = join(HERE, '../../../../examples');
+const FIXTURES = join(HERE, '__fixtures__');
 
 /** Replaces what is random: program ids, continuations and digests. */
 function normalise(value: unknown): unknown {
@@ -40,11 +42,12 @@
 }
 
 ['lesni-stezka', 'calor-justo'].forEach((user) => {
-  test(`whole sessions of ${user} are as recorded`, async () => {
+  test(`whole sessions of ${user} are as recorded`, async (context) => {
     const folder = join(EXAMPLES, user);
     const configuration = readToml(join(folder, 'configuration.toml'), configurationFileSchema);
     const scripts = readToml(join(folder, 'programs.toml'), programScriptsSchema).unwrap();
     const cluster = new DevelopmentCluster({ configuration: configuration.unwrap() });
+    context.after(() => cluster.close());
     await cluster.start();
     const key = `${user}-example-key`;
     const client = new CallerClient({ urls: cluster.urls, key, rotates: true });
@@ -53,7 +56,6 @@
       {sessions.push(session(await playProgram(client, script)));}
     const executions = Object.fromEntries([...cluster.executions()].sort());
     await client.close();
-    await cluster.close();
 
     const actual = normalise({ sessions, executions });
     const golden = join(FIXTURES, `${user}.golden.json`);
--- /dev/null
+++ b/packages/entry/src/__tests__/atMostOnce.test.ts
@@ -0,0 +1,391 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { CallRegister } from '@marjorampin/agent';
+import { type AppendOutcome, type LedgerRecord, LedgerShard } from '@marjorampin/ledger';
+import { MemoryEventLog } from '@marjorampin/logging';
+import {
+  type Changes,
+  type CompareAndSwap,
+  KeyValueStore,
+  MemoryKeyValueStore,
+  type Snapshot,
+  type StoredValue,
+  StoreError,
+} from '@marjorampin/platform';
+import { create } from '@bufbuild/protobuf';
+import { type Reply, ReplySchema, type RequestBody } from '@marjorampin/protocol';
+import {
+  CallError,
+  Clock,
+  createProgramId,
+  type Endpoint,
+  EpochFence,
+  Err,
+  type Result,
+  toCallError,
+} from '@marjorampin/types';
+import fc from 'fast-check';
+import { BudgetAccount } from '../budgetAccount';
+import { serviceSchema as serviceCallSchema } from '../calls';
+import { Endpoints } from '../endpointDispatcher';
+import { Ledger } from '../ledgerClient';
+import { Program } from '../program';
+import { ServiceTurn } from '../serviceTurn';
+
+const SEED = Number(process.env.FAST_CHECK_SEED ?? 20261204);
+const RUNS = Number(process.env.FAST_CHECK_RUNS ?? 1_200);
+
+const SERVICE = {
+  name: 'bookings',
+  kind: 'plain' as const,
+  idempotentOperations: [],
+  costTokens: 1,
+  wastedCachePriceMs: 0,
+  progressTimeoutMs: 1_000,
+  checksFencing: true,
+};
+
+/** What happens to one message or write. */
+type Fate = 'delivered' | 'refused' | 'answer-lost' | 'delayed';
+
+/** Fates in the order of use; what comes after them is delivered. */
+class Fates {
+  private readonly fates: Fate[];
+
+  constructor(fates: Fate[]) {
+    this.fates = [...fates];
+  }
+
+  next(): Fate {
+    return this.fates.shift() ?? 'delivered';
+  }
+}
+
+class ScheduledClock extends Clock {
+  private timeMs = 0;
+
+  private readonly scheduler: fc.Scheduler;
+
+  constructor(scheduler: fc.Scheduler) {
+    super();
+    this.scheduler = scheduler;
+  }
+
+  override now(): number {
+    return this.timeMs;
+  }
+
+  override wallTime(): number {
+    return this.timeMs;
+  }
+
+  override async sleep(ms: number): Promise<void> {
+    await this.scheduler.schedule(Promise.resolve());
+    this.timeMs += ms;
+  }
+}
+
+/** A store whose requests are interleaved, refused, or lose their answers. */
+class ScheduledStore extends KeyValueStore {
+  private readonly store = new MemoryKeyValueStore();
+
+  private readonly scheduler: fc.Scheduler;
+
+  private readonly fates: Fates;
+
+  constructor(scheduler: fc.Scheduler, fates: Fates) {
+    super();
+    this.scheduler = scheduler;
+    this.fates = fates;
+  }
+
+  override async get(key: string): Promise<Result<StoredValue | undefined, StoreError>> {
+    await this.scheduler.schedule(Promise.resolve());
+    if (this.fates.next() === 'refused') return Err(failure('unavailable'));
+    return this.store.get(key);
+  }
+
+  override list(prefix: string): Promise<Result<Snapshot, StoreError>> {
+    return this.store.list(prefix);
+  }
+
+  override async compareAndSwap(write: CompareAndSwap): Promise<Result<number, StoreError>> {
+    await this.scheduler.schedule(Promise.resolve());
+    const fate = this.fates.next();
+    if (fate === 'refused') return Err(failure('unavailable'));
+    if (fate === 'delayed') {
+      this.scheduler.schedule(Promise.resolve()).then(() => this.store.compareAndSwap(write));
+      return Err(failure('ambiguous'));
+    }
+    const written = await this.store.compareAndSwap(write);
+    return fate === 'answer-lost' ? Err(failure('ambiguous')) : written;
+  }
+
+  override remove(key: string, version: number): Promise<Result<void, StoreError>> {
+    return this.store.remove(key, version);
+  }
+
+  override watch(prefix: string, revision: number): Promise<Result<Changes, StoreError>> {
+    return this.store.watch(prefix, revision, 0);
+  }
+}
+
+function failure(kind: 'unavailable' | 'ambiguous'): StoreError {
+  return new StoreError({ kind, message: kind });
+}
+
+class ShardLedger extends Ledger {
+  private readonly shard: LedgerShard;
+
+  constructor(shard: LedgerShard) {
+    super();
+    this.shard = shard;
+  }
+
+  override append(record: LedgerRecord): Promise<Result<AppendOutcome, CallError>> {
+    return this.shard.append([record]);
+  }
+
+  override read(key: string): Promise<Result<LedgerRecord | undefined, CallError>> {
+    return this.shard.read(key);
+  }
+}
+
+interface FakeAgent {
+  endpoint: Endpoint;
+  register: CallRegister;
+  fence: EpochFence;
+}
+
+/** Agents behind a network that loses and delays messages; counts executions by key. */
+class FakeEndpoints extends Endpoints {
+  readonly executions = new Map<string, number>();
+
+  private readonly agents = new Map<string, FakeAgent>();
+
+  private readonly scheduler: fc.Scheduler;
+
+  private readonly fates: Fates;
+
+  private incarnations = 0;
+
+  constructor(scheduler: fc.Scheduler, fates: Fates) {
+    super();
+    this.scheduler = scheduler;
+    this.fates = fates;
+    ['bookings-0', 'bookings-1'].forEach((id) => this.restart(id));
+  }
+
+  restart(id: string): void {
+    this.incarnations += 1;
+    const incarnation = String(this.incarnations);
+    const endpoint: Endpoint = {
+      id,
+      service: SERVICE.name,
+      agentAddress: id,
+      incarnation,
+      domain: 'domain-a',
+      state: 'live',
+    };
+    this.agents.set(id, { endpoint, register: new CallRegister(), fence: new EpochFence() });
+  }
+
+  override async choose(service: string, request: unknown, tried: Set<string>): Promise<Endpoint> {
+    await this.scheduler.schedule(Promise.resolve());
+    const agents = [...this.agents.values()];
+    const agent = agents.find(({ endpoint }) => !tried.has(endpoint.id)) ?? agents[0];
+    return (agent as FakeAgent).endpoint;
+  }
+
+  override get(id: string): Endpoint | undefined {
+    return this.agents.get(id)?.endpoint;
+  }
+
+  override async send(endpoint: Endpoint, body: RequestBody): Promise<Reply> {
+    // The request reaches the process that runs at this moment, whatever its incarnation.
+    const fate = this.fates.next();
+    await this.scheduler.schedule(Promise.resolve());
+    const deliver = () => this.answer(endpoint.id, body);
+    if (fate === 'refused') throw connectionLost('not-run');
+    if (fate === 'delayed') {
+      this.scheduler
+        .schedule(Promise.resolve())
+        .then(deliver)
+        .catch(() => undefined);
+      throw connectionLost('unknown');
+    }
+    const reply = await deliver();
+    await this.scheduler.schedule(Promise.resolve());
+    if (fate === 'answer-lost') throw connectionLost('unknown');
+    return reply;
+  }
+
+  private async answer(id: string, body: RequestBody): Promise<Reply> {
+    const agent = this.agents.get(id) as FakeAgent;
+    if (body?.case === 'settleCalls') {
+      agent.register.settle(body.value.keys ?? []);
+      return create(ReplySchema, { body: { case: 'acknowledgement', value: {} } });
+    }
+    if (body?.case !== 'serviceCall' && body?.case !== 'voidCall') throw new Error('unexpected');
+    const { fence, key = '', attempt, incarnation } = body.value;
+    agent.fence.admit({ partition: fence?.partition ?? 0, epoch: fence?.epoch ?? 0 });
+    const isCurrent = incarnation === agent.endpoint.incarnation;
+    if (body.case === 'voidCall') {
+      const value = isCurrent
+        ? await agent.register.void(`${key}#${attempt}`)
+        : { outcome: 'unknown' as const };
+      return create(ReplySchema, { body: { case: 'voidResult', value } });
+    }
+    if (!isCurrent) throw new CallError({ kind: 'stale-epoch', message: 'replaced' });
+    const value = await agent.register.run(`${key}#${attempt}`, () => this.execute(key));
+    return create(ReplySchema, { body: { case: 'serviceResult', value } });
+  }
+
+  private async execute(key: string) {
+    this.executions.set(key, (this.executions.get(key) ?? 0) + 1);
+    await this.scheduler.schedule(Promise.resolve());
+    return { status: 200, body: key };
+  }
+}
+
+function connectionLost(execution: 'not-run' | 'unknown'): CallError {
+  return new CallError({ kind: 'connection-lost', message: 'lost', execution });
+}
+
+/** One step of a history: a request under an epoch, or an agent's replacement. */
+interface Step {
+  action: 'request' | 'takeover' | 'restart';
+  key: number;
+  agent: number;
+}
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+  action: fc.constantFrom('request', 'request', 'request', 'takeover', 'restart'),
+  key: fc.integer({ min: 0, max: 1 }),
+  agent: fc.integer({ min: 0, max: 1 }),
+});
+
+const fatesArbitrary = fc.array(
+  fc.constantFrom<Fate>('delivered', 'delivered', 'refused', 'answer-lost', 'delayed'),
+  { maxLength: 40 },
+);
+
+interface Verdict { key: string; execution: 'answered' | 'not-run' | 'done' | 'unknown' }
+
+async function playHistory(
+  scheduler: fc.Scheduler,
+  steps: Step[],
+  storeFates: Fate[],
+  messageFates: Fate[],
+) {
+  const clock = new ScheduledClock(scheduler);
+  const store = new ScheduledStore(scheduler, new Fates(storeFates));
+  const endpoints = new FakeEndpoints(scheduler, new Fates(messageFates));
+  const verdicts: Verdict[] = [];
+  const seen = new Set<string>();
+  let epoch = 1;
+  let ledger = openLedger(store, clock, epoch);
+  const request = async (key: string, isFirst: boolean) => {
+    const turn = createTurn({ key, epoch, ledger, endpoints, clock, isFirst });
+    const execution = await turn.run().then(
+      () => 'answered' as const,
+      (error) => toCallError(error).execution,
+    );
+    verdicts.push({ key: `call/customer/bookings/${key}`, execution });
+  };
+  const all: Promise<unknown>[] = [];
+  steps.forEach(({ action, key, agent }) => {
+    all.push(
+      scheduler.schedule(Promise.resolve()).then(() => {
+        if (action === 'restart') endpoints.restart(`bookings-${agent}`);
+        if (action === 'takeover') {
+          epoch += 1;
+          ledger = openLedger(store, clock, epoch);
+        }
+        if (action !== 'request') return undefined;
+        const name = `key-${key}`;
+        const isFirst = !seen.has(name);
+        seen.add(name);
+        return request(name, isFirst);
+      }),
+    );
+  });
+  await scheduler.waitIdle();
+  await Promise.all(all);
+  await scheduler.waitIdle();
+  return { verdicts, executions: endpoints.executions };
+}
+
+function openLedger(store: KeyValueStore, clock: Clock, epoch: number): Ledger {
+  const writer = `entry-${epoch}`;
+  return new ShardLedger(
+    new LedgerShard({ store, shard: 0, writer, clock, maximumTailBytes: 600 }),
+  );
+}
+
+function createTurn(options: {
+  key: string;
+  epoch: number;
+  ledger: Ledger;
+  endpoints: Endpoints;
+  clock: Clock;
+  isFirst: boolean;
+}): ServiceTurn {
+  const { key, epoch, ledger, endpoints, clock, isFirst } = options;
+  const partition = 7;
+  const id = createProgramId({ customer: 'customer', partition });
+  const budget = new BudgetAccount({ program: id, granted: 100, epoch, ledger });
+  const program = new Program({
+    id,
+    customer: 'customer',
+    parent: '',
+    partition,
+    epoch,
+    budget,
+    expiresMs: 0,
+  });
+  const body = serviceCallSchema.parse({
+    continuation: '',
+    service: 'bookings',
+    operation: 'book',
+    idempotencyKey: key,
+  });
+  const log = new MemoryEventLog();
+  const mayHaveRunBefore = !isFirst;
+  return new ServiceTurn({
+    program,
+    body,
+    service: SERVICE,
+    endpoints,
+    ledger,
+    clock,
+    log,
+    mayHaveRunBefore,
+  });
+}
+
+test('a call runs at most once, and "not run" is never said of one that ran', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.scheduler(),
+      fc.array(stepArbitrary, { minLength: 1, maxLength: 8 }),
+      fatesArbitrary,
+      fatesArbitrary,
+      async (scheduler, steps, storeFates, messageFates) => {
+        const played = await playHistory(scheduler, steps, storeFates, messageFates);
+        const { verdicts, executions } = played;
+        executions.forEach((count, key) => assert.equal(count, 1, `${key} ran ${count} times`));
+        const keys = new Set(verdicts.map(({ key }) => key));
+        keys.forEach((key) => {
+          const outcomes = verdicts.filter((verdict) => verdict.key === key);
+          const count = executions.get(key) ?? 0;
+          const isAnswered = outcomes.some(({ execution }) => execution === 'answered');
+          if (isAnswered) assert.equal(count, 1, `${key} was answered without having run`);
+          const isRefused = outcomes.every(({ execution }) => execution === 'not-run');
+          if (isRefused) assert.equal(count, 0, `${key} ran, and every request was told "not run"`);
+        });
+      },
+    ),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
--- a/packages/entry/src/budgetAccount.ts
+++ b/packages/entry/src/budgetAccount.ts
@@ -1,6 +1,6 @@
 import { createLedgerRecord } from '@marjorampin/ledger';
 import { CallError } from '@marjorampin/types';
-import type { LedgerClient } from './ledgerClient';
+import type { Ledger } from './ledgerClient';
 
 /** A grant is recorded in this many chunks. */
 const CHUNKS_PER_GRANT = 8;
@@ -23,7 +23,7 @@
   /** Tokens that the ledger says are granted; 0 when it has no record. */
   recorded?: number;
   epoch: number;
-  ledger: LedgerClient;
+  ledger: Ledger;
 }
 
 /**
@@ -40,7 +40,7 @@
 
   private readonly epoch: number;
 
-  private readonly ledger: LedgerClient;
+  private readonly ledger: Ledger;
 
   private spentTokens: number;
 
--- a/packages/entry/src/endpointDispatcher.ts
+++ b/packages/entry/src/endpointDispatcher.ts
@@ -2,12 +2,7 @@
 import type { Metrics } from '@marjorampin/metrics';
 import { ENDPOINT_PREFIX, type KeyValueStore, WatchedPrefix } from '@marjorampin/platform';
 import type { PeerPool, Reply, RequestBody } from '@marjorampin/protocol';
-import {
-  chooseEndpoint,
-  type ChoiceRequest,
-  EndpointDirectory,
-  type EndpointView,
-} from '@marjorampin/routing';
+import { chooseEndpoint, type ChoiceRequest, EndpointDirectory } from '@marjorampin/routing';
 import { CallError, type Clock, type Endpoint, toCallError } from '@marjorampin/types';
 
 /** A service without an available endpoint is waited for this long before a call is refused. */
@@ -33,8 +28,20 @@
   progressTimeoutMs: number;
 }
 
+/** The endpoints, as calls see them. */
+export abstract class Endpoints {
+  /** Chooses an endpoint of a service; throws `no-endpoint` when there is none. */
+  abstract choose(service: string, request: ChoiceRequest, tried: Set<string>): Promise<Endpoint>;
+
+  /** Sends a request to an endpoint's agent. */
+  abstract send(endpoint: Endpoint, body: RequestBody, options: DispatchOptions): Promise<Reply>;
+
+  /** Returns a registered endpoint. */
+  abstract get(id: string): Endpoint | undefined;
+}
+
 /** Knows the endpoints, chooses among them and sends requests to their agents. */
-export class EndpointDispatcher {
+export class EndpointDispatcher extends Endpoints {
   readonly directory: EndpointDirectory;
 
   private readonly options: EndpointDispatcherOptions;
@@ -42,6 +49,7 @@
   private readonly watched: WatchedPrefix;
 
   constructor(options: EndpointDispatcherOptions) {
+    super();
     this.options = options;
     const { store, clock } = options;
     this.directory = new EndpointDirectory({ clock });
@@ -61,21 +69,29 @@
   }
 
   /** Chooses an endpoint; waits a moment for one, then throws `no-endpoint`. */
-  async choose(service: string, request: ChoiceRequest, tried: Set<string>): Promise<EndpointView> {
+  override async choose(
+    service: string,
+    request: ChoiceRequest,
+    tried: Set<string>,
+  ): Promise<Endpoint> {
     const { clock } = this.options;
     const giveUpAt = clock.now() + ENDPOINT_WAIT_MS;
     for (;;) {
       const available = this.directory.available(service);
       const fresh = available.filter(({ endpoint }) => !tried.has(endpoint.id));
       const chosen = chooseEndpoint(fresh.length > 0 ? fresh : available, request);
-      if (chosen) return chosen;
+      if (chosen) return chosen.endpoint;
       if (clock.now() >= giveUpAt) throw noEndpoint(service);
       await clock.sleep(ENDPOINT_PAUSE_MS);
     }
   }
 
   /** Sends a request to an endpoint's agent, and keeps new work away when that fails. */
-  async send(endpoint: Endpoint, body: RequestBody, options: DispatchOptions): Promise<Reply> {
+  override async send(
+    endpoint: Endpoint,
+    body: RequestBody,
+    options: DispatchOptions,
+  ): Promise<Reply> {
     const { peers, clock, metrics, log } = this.options;
     const { onText, signal, progressTimeoutMs } = options;
     const startedMs = clock.now();
@@ -100,10 +116,8 @@
     }
   }
 
-  /** Returns the endpoint that runs under an incarnation, if it is still registered. */
-  find(id: string, incarnation: string): Endpoint | undefined {
-    const view = this.directory.get(id);
-    return view?.endpoint.incarnation === incarnation ? view.endpoint : undefined;
+  override get(id: string): Endpoint | undefined {
+    return this.directory.get(id)?.endpoint;
   }
 
   private refresh(): void {
--- a/packages/entry/src/ledgerClient.ts
+++ b/packages/entry/src/ledgerClient.ts
@@ -42,20 +42,29 @@
   return (createHash('sha256').update(key).digest()[0] ?? 0) % LEDGER_SHARD_COUNT;
 }
 
+/** Where facts about calls and budgets are recorded. */
+export abstract class Ledger {
+  /** Appends one record, unless what stands about its key speaks against it. */
+  abstract append(record: LedgerRecord): Promise<Result<AppendOutcome, CallError>>;
+
+  /** Returns the newest record of a key. */
+  abstract read(key: string): Promise<Result<LedgerRecord | undefined, CallError>>;
+}
+
 /**
  * Reaches the writer of each ledger shard: the owner of the partition with the shard's number.
  */
-export class LedgerClient {
+export class LedgerClient extends Ledger {
   private readonly options: LedgerClientOptions;
 
   private readonly shards = new Map<number, OpenShard>();
 
   constructor(options: LedgerClientOptions) {
+    super();
     this.options = options;
   }
 
-  /** Appends one record through its shard's writer. */
-  async append(record: LedgerRecord): Promise<Result<AppendOutcome, CallError>> {
+  override async append(record: LedgerRecord): Promise<Result<AppendOutcome, CallError>> {
     const shard = shardOfKey(record.key);
     return this.withWriter(
       shard,
@@ -69,8 +78,7 @@
     );
   }
 
-  /** Returns the newest record of a key. */
-  async read(key: string): Promise<Result<LedgerRecord | undefined, CallError>> {
+  override async read(key: string): Promise<Result<LedgerRecord | undefined, CallError>> {
     const shard = shardOfKey(key);
     return this.withWriter(
       shard,
--- a/packages/entry/src/modelTurn.ts
+++ b/packages/entry/src/modelTurn.ts
@@ -9,7 +9,7 @@
   toCallError,
 } from '@marjorampin/types';
 import type { ModelCallBody } from './calls';
-import type { EndpointDispatcher } from './endpointDispatcher';
+import type { Endpoints } from './endpointDispatcher';
 import type { Program } from './program';
 
 const MAXIMUM_ATTEMPTS = 5;
@@ -27,7 +27,7 @@
   service: Service;
   priority: Priority;
   identity: string;
-  dispatcher: EndpointDispatcher;
+  endpoints: Endpoints;
   /** Text that the caller already received. */
   emittedText: string;
   onText(text: string): void;
@@ -79,8 +79,8 @@
   }
 }
 
-async function choose(
-  { program, body, service, dispatcher }: ModelTurnOptions,
+function choose(
+  { program, body, service, endpoints }: ModelTurnOptions,
   context: string,
   tried: Set<string>,
 ): Promise<Endpoint> {
@@ -89,8 +89,7 @@
     contextTokens: countTokens(context),
     wastedCachePriceMs: service.wastedCachePriceMs,
   };
-  const { endpoint } = await dispatcher.choose(body.service, request, tried);
-  return endpoint;
+  return endpoints.choose(body.service, request, tried);
 }
 
 /** A call that an endpoint may have started is not reported as "not run". */
@@ -106,7 +105,7 @@
   resumeText: string,
   onText: (text: string) => void,
 ): Promise<Reply> {
-  const { program, body, service, priority, identity, dispatcher } = options;
+  const { program, body, service, priority, identity, endpoints } = options;
   program.visitedEndpoints.add(endpoint.id);
   const value = {
     fence: { partition: program.partition, epoch: program.epoch },
@@ -119,7 +118,7 @@
     deadlineMs: body.deadlineMs,
   };
   const { progressTimeoutMs } = service;
-  return dispatcher.send(endpoint, { case: 'modelCall', value }, { onText, progressTimeoutMs });
+  return endpoints.send(endpoint, { case: 'modelCall', value }, { onText, progressTimeoutMs });
 }
 
 /** Checks that the streamed parts make up the engine's whole text, and completes them. */
--- a/packages/entry/src/programOwner.ts
+++ b/packages/entry/src/programOwner.ts
@@ -213,7 +213,7 @@
         service,
         priority: mayWait ? 'background' : contract.priority,
         identity: `${program.id}/${identity.slice(0, 16)}`,
-        dispatcher,
+        endpoints: dispatcher,
         emittedText: call.emittedText,
         onText: call.onText,
         pause: (ms) => clock.sleep(ms),
@@ -244,7 +244,16 @@
     program.unresolvedCalls.add(key);
     let spent = service.costTokens;
     try {
-      const options = { program, body, service, dispatcher, ledger, clock, log, mayHaveRunBefore };
+      const options = {
+        program,
+        body,
+        service,
+        endpoints: dispatcher,
+        ledger,
+        clock,
+        log,
+        mayHaveRunBefore,
+      };
       const result = await new ServiceTurn(options).run();
       program.unresolvedCalls.delete(key);
       const request = `${body.operation} ${JSON.stringify(body.body)}`;
@@ -295,9 +304,7 @@
     const { dispatcher } = this.options;
     const fence = { partition: program.partition, epoch: program.epoch };
     const value = { fence, program: program.id };
-    const endpoints = [...program.visitedEndpoints].flatMap(
-      (id) => dispatcher.directory.get(id)?.endpoint ?? [],
-    );
+    const endpoints = [...program.visitedEndpoints].flatMap((id) => dispatcher.get(id) ?? []);
     const options = { progressTimeoutMs: 2_000 };
     await Promise.allSettled(
       endpoints.map((endpoint) =>
--- a/packages/entry/src/serviceTurn.ts
+++ b/packages/entry/src/serviceTurn.ts
@@ -9,8 +9,8 @@
   toCallError,
 } from '@marjorampin/types';
 import type { ServiceCallBody } from './calls';
-import type { EndpointDispatcher } from './endpointDispatcher';
-import type { LedgerClient } from './ledgerClient';
+import type { Endpoints } from './endpointDispatcher';
+import type { Ledger } from './ledgerClient';
 import type { Program } from './program';
 
 /** Rounds of preparing, sending and resolving before a call is given up. */
@@ -28,8 +28,8 @@
   program: Program;
   body: ServiceCallBody;
   service: Service;
-  dispatcher: EndpointDispatcher;
-  ledger: LedgerClient;
+  endpoints: Endpoints;
+  ledger: Ledger;
   clock: Clock;
   log: EventLog;
   /** An earlier request may have run this call, unless the ledger says that it did not. */
@@ -163,8 +163,8 @@
 
   /** Asks the agent that an intent names what became of the call. */
   private async resolveIntent(intent: LedgerRecord): Promise<Round> {
-    const { dispatcher } = this.options;
-    const current = dispatcher.directory.get(intent.endpoint)?.endpoint;
+    const { endpoints } = this.options;
+    const current = endpoints.get(intent.endpoint);
     if (!current || current.incarnation !== intent.incarnation) return this.recordUnknown(intent);
     const value = {
       fence: this.fence(),
@@ -173,11 +173,12 @@
       incarnation: intent.incarnation,
     };
     const options = { progressTimeoutMs: VOID_TIMEOUT_MS };
-    const reply = await dispatcher
+    const reply = await endpoints
       .send(current, { case: 'voidCall', value }, options)
       .catch((thrown: unknown) => {
         const error = toCallError(thrown);
-        if (error.kind === 'stale-epoch') throw error;
+        // The call itself may have arrived before the newer owner did.
+        if (error.kind === 'stale-epoch') throw supersededUnknown(error.message);
         return undefined;
       });
     if (reply?.body.case !== 'voidResult') throw unknownForNow();
@@ -209,13 +210,14 @@
 
   /** Records the outcome without holding the answer back; then the agent may forget the call. */
   private async recordOutcome(intent: LedgerRecord, result: ServiceTurnResult): Promise<void> {
-    const { ledger, dispatcher } = this.options;
+    const { ledger, endpoints } = this.options;
     const appended = await ledger.append({ ...intent, kind: 'outcome', ...result });
-    const endpoint = dispatcher.find(intent.endpoint, intent.incarnation);
-    if (appended.err || !appended.val.appended || !endpoint) return;
+    const endpoint = endpoints.get(intent.endpoint);
+    if (appended.err || !appended.val.appended) return;
+    if (endpoint?.incarnation !== intent.incarnation) return;
     const value = { keys: [`${this.key}#${intent.attempt}`] };
     const options = { progressTimeoutMs: VOID_TIMEOUT_MS };
-    await dispatcher.send(endpoint, { case: 'settleCalls', value }, options).catch(() => undefined);
+    await endpoints.send(endpoint, { case: 'settleCalls', value }, options).catch(() => undefined);
   }
 
   private async dispatch(
@@ -223,7 +225,7 @@
     attempt: number,
     idempotent: boolean,
   ): Promise<ServiceTurnResult> {
-    const { program, body, service, dispatcher } = this.options;
+    const { program, body, service, endpoints } = this.options;
     const value = {
       fence: this.fence(),
       program: program.id,
@@ -237,7 +239,7 @@
     };
     const progressTimeoutMs = Math.min(body.deadlineMs, service.progressTimeoutMs);
     const options = { progressTimeoutMs };
-    const reply = await dispatcher.send(endpoint, { case: 'serviceCall', value }, options);
+    const reply = await endpoints.send(endpoint, { case: 'serviceCall', value }, options);
     if (reply.body.case !== 'serviceResult') {
       const message = `the agent answered a service call with "${reply.body.case}"; update the agent`;
       throw new CallError({ kind: 'internal', message, execution: 'unknown' });
@@ -245,11 +247,10 @@
     return { status: reply.body.value.status, body: reply.body.value.body };
   }
 
-  private async chooseEndpoint(tried: Set<string>): Promise<Endpoint> {
-    const { dispatcher, body } = this.options;
+  private chooseEndpoint(tried: Set<string>): Promise<Endpoint> {
+    const { endpoints, body } = this.options;
     const request = { warmEndpoint: '', contextTokens: 0, wastedCachePriceMs: 0 };
-    const { endpoint } = await dispatcher.choose(body.service, request, tried);
-    return endpoint;
+    return endpoints.choose(body.service, request, tried);
   }
 
   private record(kind: 'intent', attempt: number, endpoint: Endpoint): LedgerRecord {
@@ -287,3 +288,8 @@
   const retryAfterMs = UNREACHABLE_RETRY_MS;
   return new CallError({ kind: 'outcome-unknown', message, execution: 'unknown', retryAfterMs });
 }
+
+function supersededUnknown(reason: string): CallError {
+  const message = `${reason}; the new owner finds out whether the call ran`;
+  return new CallError({ kind: 'stale-epoch', message, execution: 'unknown', retryAfterMs: 100 });
+}
