--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -52,6 +52,11 @@
     files: ['packages/**/*.ts'],
     rules: { ...HOUSE_RULES, ...FORMATTING_RULES },
   },
+  {
+    files: ['**/__tests__/**/*.ts'],
+    // A test keeps its fakes beside its cases.
+    rules: { 'max-classes-per-file': 'off' },
+  },
   {
     files: ['packages/cli/**/*.ts'],
     // A command ends the process: its connections would keep it alive.
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -28,6 +28,9 @@
 const REGISTRATION_PAUSE_MS = 250;
 const DRAIN_POLL_MS = 20;
 
+/** Time between two looks for idle programs. */
+const IDLE_SWEEP_INTERVAL_MS = 30_000;
+
 /** What an agent needs. */
 export interface AgentOptions {
   id: string;
@@ -70,6 +73,7 @@
       incarnation: this.incarnation,
       adapter,
       log,
+      clock,
       sendContext: (address, exported) => this.sendContext(address, exported),
     });
     this.server = new PeerServer({
@@ -79,9 +83,12 @@
       ...(tls ? { tls } : {}),
     });
     this.peers = new PeerPool({ handler: this.handler, clock, tls });
-    if (adapter instanceof HttpModelEndpoint) this.reportLoad(() => adapter.load());
-    else {
-      this.reportLoad(async () => ({ running: this.handler.running, queued: 0, cachedTokens: 0 }));
+    if (adapter instanceof HttpModelEndpoint) {
+      this.reportLoad(() => adapter.load());
+      this.releaseIdle();
+    } else {
+      const running = () => this.handler.running;
+      this.reportLoad(async () => ({ running: running(), queued: 0, cachedTokens: 0 }));
     }
   }
 
@@ -115,6 +122,14 @@
     await this.server.close();
   }
 
+  private async releaseIdle(): Promise<void> {
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      await this.handler.releaseIdle().catch(() => undefined);
+      await this.options.clock.sleep(IDLE_SWEEP_INTERVAL_MS, signal).catch(() => undefined);
+    }
+  }
+
   private async register(): Promise<void> {
     while (!this.stopped.signal.aborted && !(await this.tryRegister())) {
       await this.options.clock.sleep(REGISTRATION_PAUSE_MS);
--- a/packages/agent/src/agentHandler.ts
+++ b/packages/agent/src/agentHandler.ts
@@ -1,6 +1,12 @@
 import { type IncomingCall, PeerHandler, type Request } from '@marjorampin/protocol';
 import type { EventLog } from '@marjorampin/logging';
-import { CallError, EpochFence, type FenceToken, toCallError } from '@marjorampin/types';
+import {
+  CallError,
+  type Clock,
+  EpochFence,
+  type FenceToken,
+  toCallError,
+} from '@marjorampin/types';
 import { CallRegister } from './callRegister';
 import type { ModelEndpoint } from './modelEndpoint';
 import type { PlainEndpoint } from './plainEndpoint';
@@ -8,12 +14,16 @@
 type ReplyInit = Awaited<ReturnType<PeerHandler['handle']>>;
 type RequestOf<Case extends string> = Extract<Request['body'], { case: Case }>['value'];
 
+/** Context of a program that made no call for this long is released. */
+export const IDLE_CONTEXT_LIMIT_MS = 600_000;
+
 /** What answers the entries' requests at one endpoint. */
 export interface AgentHandlerOptions {
   endpoint: string;
   incarnation: string;
   adapter: ModelEndpoint | PlainEndpoint;
   log: EventLog;
+  clock: Clock;
   /** Sends a program's exported context to the agent at an address. */
   sendContext(address: string, exported: string): Promise<void>;
 }
@@ -32,6 +42,9 @@
 
   private runningCalls = 0;
 
+  /** Time of the last call of each program whose context the engine may hold. */
+  private readonly lastCalls = new Map<string, number>();
+
   constructor(options: AgentHandlerOptions) {
     super();
     this.options = options;
@@ -42,6 +55,16 @@
     return this.runningCalls;
   }
 
+  /** Frees the memory of programs whose owners vanished or forgot them. */
+  async releaseIdle(): Promise<void> {
+    const before = this.options.clock.now() - IDLE_CONTEXT_LIMIT_MS;
+    const idle = [...this.lastCalls].filter(([, calledAtMs]) => calledAtMs < before);
+    for (const [program] of idle) {
+      this.lastCalls.delete(program);
+      await this.model().release(program);
+    }
+  }
+
   override async handle({ body }: Request, call: IncomingCall): Promise<ReplyInit> {
     switch (body.case) {
       case 'modelCall':
@@ -74,6 +97,7 @@
     this.admit(request.fence);
     this.refuseWhenLeaving();
     const { request: id, program, context, resumeText, maximumTokens, priority } = request;
+    this.lastCalls.set(program, this.options.clock.now());
     const generation = { request: id, program, context, resumeText, maximumTokens, priority };
     const value = await this.counted(() =>
       this.model().generate(generation, (text) => call.send(text), call.signal),
@@ -108,6 +132,7 @@
 
   private async release({ fence, program }: RequestOf<'releaseContext'>): Promise<ReplyInit> {
     this.admit(fence);
+    this.lastCalls.delete(program);
     await this.model().release(program);
     return ACCEPTED;
   }
--- a/packages/development/src/__tests__/goldenSessions.test.ts
+++ b/packages/development/src/__tests__/goldenSessions.test.ts
@@ -52,8 +52,9 @@
     const key = `${user}-example-key`;
     const client = new CallerClient({ urls: cluster.urls, key, rotates: true });
     const sessions: unknown[] = [];
-    for (const script of scripts.programs)
-      {sessions.push(session(await playProgram(client, script)));}
+    for (const script of scripts.programs) {
+      sessions.push(session(await playProgram(client, script)));
+    }
     const executions = Object.fromEntries([...cluster.executions()].sort());
     await client.close();
 
--- a/packages/entry/src/__tests__/atMostOnce.test.ts
+++ b/packages/entry/src/__tests__/atMostOnce.test.ts
@@ -244,6 +244,7 @@
   private async execute(key: string) {
     this.executions.set(key, (this.executions.get(key) ?? 0) + 1);
     await this.scheduler.schedule(Promise.resolve());
+    if (this.fates.next() === 'answer-lost') throw connectionLost('unknown');
     return { status: 200, body: key };
   }
 }
@@ -270,7 +271,12 @@
   { maxLength: 40 },
 );
 
-interface Verdict { key: string; execution: 'answered' | 'not-run' | 'done' | 'unknown' }
+interface Verdict {
+  key: string;
+  execution: 'answered' | 'not-run' | 'done' | 'unknown';
+  /** Executions of the key before the request began. */
+  countBefore: number;
+}
 
 async function playHistory(
   scheduler: fc.Scheduler,
@@ -287,11 +293,13 @@
   let ledger = openLedger(store, clock, epoch);
   const request = async (key: string, isFirst: boolean) => {
     const turn = createTurn({ key, epoch, ledger, endpoints, clock, isFirst });
+    const name = `call/customer/bookings/${key}`;
+    const countBefore = endpoints.executions.get(name) ?? 0;
     const execution = await turn.run().then(
       () => 'answered' as const,
       (error) => toCallError(error).execution,
     );
-    verdicts.push({ key: `call/customer/bookings/${key}`, execution });
+    verdicts.push({ key: name, execution, countBefore });
   };
   const all: Promise<unknown>[] = [];
   steps.forEach(({ action, key, agent }) => {
@@ -375,6 +383,9 @@
         const played = await playHistory(scheduler, steps, storeFates, messageFates);
         const { verdicts, executions } = played;
         executions.forEach((count, key) => assert.equal(count, 1, `${key} ran ${count} times`));
+        verdicts.forEach(({ key, execution, countBefore }) => {
+          if (execution === 'not-run') assert.equal(countBefore, 0, `${key} had run before`);
+        });
         const keys = new Set(verdicts.map(({ key }) => key));
         keys.forEach((key) => {
           const outcomes = verdicts.filter((verdict) => verdict.key === key);
--- a/packages/entry/src/callerApi.ts
+++ b/packages/entry/src/callerApi.ts
@@ -9,7 +9,7 @@
   toCallError,
 } from '@marjorampin/types';
 import { H3, type H3Event } from 'h3';
-import { CALL_SCHEMAS, type Call, type CallMethod } from './calls';
+import { CALL_SCHEMAS, type Call, type CallMethod, type TurnAnswer } from './calls';
 import type { CallRouter } from './callRouter';
 import { OPEN_API } from './openApi';
 import { problemOf, problemResponse } from './problemDetails';
@@ -98,8 +98,15 @@
           if (isOpen) controller.enqueue(encoder.encode(`event: ${event}\ndata: ${data}\n\n`));
         };
         try {
-          const onText = (text: string) => send('text', JSON.stringify({ text }));
+          let sentCharacters = 0;
+          const onText = (text: string) => {
+            sentCharacters += text.length;
+            send('text', JSON.stringify({ text }));
+          };
           const answer = await router.route({ ...call, onText });
+          // An answer from a running or finished call comes whole; the caller still gets its parts.
+          const { text = '' } = JSON.parse(answer) as TurnAnswer;
+          if (text.length > sentCharacters) onText(text.slice(sentCharacters));
           this.record(call.method, 'ok', startedMs);
           send('answer', answer);
         } catch (thrown) {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -134,6 +134,11 @@
     return { callers, peers };
   }
 
+  /** Returns true while this entry owns a partition. */
+  owns(partition: number): boolean {
+    return this.table.get(partition).owner === this.options.id;
+  }
+
   /** Planned stop: partitions go to other entries, requests in progress finish. */
   async stop(): Promise<void> {
     const { id, log, clock } = this.options;
@@ -160,8 +165,8 @@
     this.detector?.stop();
     [this.configuration, this.members, this.table, this.dispatcher].forEach((part) => part.stop());
     this.peers.close();
-    this.callerServer?.closeAllConnections();
     this.callerServer?.close();
+    this.callerServer?.closeAllConnections();
     await this.peerServer.close();
   }
 
--- a/packages/entry/src/handoverReceiver.ts
+++ b/packages/entry/src/handoverReceiver.ts
@@ -58,7 +58,13 @@
     const token = { partition, epoch };
     const { turn, digest, granted, spent, holders } = known;
     const before = { program: state.program, customer, turn, digest, granted, spent, holders };
-    const chain = await history.find(token, { ...before, parent: '', epoch, expiresMs: 0 });
+    const chain = await history.find(token, {
+      ...before,
+      parent: '',
+      epoch,
+      endpoints: [],
+      expiresMs: 0,
+    });
     if (!chain) {
       const message = 'the turns before this one can not be read; retry the call';
       throw new CallError({ kind: 'owner-unavailable', message, execution: 'unknown' });
--- a/packages/entry/src/modelTurn.ts
+++ b/packages/entry/src/modelTurn.ts
@@ -31,6 +31,8 @@
   /** Text that the caller already received. */
   emittedText: string;
   onText(text: string): void;
+  /** Asks an endpoint to free the memory that it holds for the program. */
+  release(endpoint: string): void;
   /** Waits between attempts. */
   pause(ms: number): Promise<void>;
 }
@@ -106,7 +108,8 @@
   onText: (text: string) => void,
 ): Promise<Reply> {
   const { program, body, service, priority, identity, endpoints } = options;
-  program.visitedEndpoints.add(endpoint.id);
+  const given = program.visit(endpoint.id);
+  if (given) options.release(given);
   const value = {
     fence: { partition: program.partition, epoch: program.epoch },
     program: program.id,
--- a/packages/entry/src/program.ts
+++ b/packages/entry/src/program.ts
@@ -2,6 +2,9 @@
 import type { Segment } from '@marjorampin/types';
 import type { BudgetAccount } from './budgetAccount';
 
+/** Endpoints that hold context of one program; the continuation names them all. */
+const MAXIMUM_VISITED_ENDPOINTS = 4;
+
 /** What a program starts from. */
 export interface ProgramOptions {
   id: string;
@@ -38,8 +41,8 @@
 
   warmEndpoint: string;
 
-  /** Endpoints that may hold context of the program. */
-  readonly visitedEndpoints = new Set<string>();
+  /** Endpoints that may hold context of the program, the latest one last. */
+  private visited: string[] = [];
 
   /** Output tokens that the program got so far, for the order of work. */
   attainedTokens = 0;
@@ -70,6 +73,10 @@
     this.warmEndpoint = options.warmEndpoint ?? '';
   }
 
+  get visitedEndpoints(): readonly string[] {
+    return this.visited;
+  }
+
   get turn(): number {
     return this.segments.length;
   }
@@ -86,6 +93,19 @@
     return this.running.size > 0;
   }
 
+  /** Notes that an endpoint may hold context; returns the one that is given up for it, if any. */
+  visit(endpoint: string): string | undefined {
+    this.visited = [...this.visited.filter((known) => known !== endpoint), endpoint];
+    return this.visited.length > MAXIMUM_VISITED_ENDPOINTS ? this.visited.shift() : undefined;
+  }
+
+  /** Forgets the endpoints once they were asked to release their context. */
+  takeVisited(): string[] {
+    const taken = this.visited;
+    this.visited = [];
+    return taken;
+  }
+
   /** Adds a turn that its holders keep. */
   append(segment: Segment, holders: string[]): void {
     this.segments.push(segment);
@@ -125,6 +145,7 @@
       spent: segment?.spent ?? 0,
       epoch: this.epoch,
       holders: this.holders,
+      endpoints: this.visited,
       expiresMs: this.expiresMs,
     };
   }
--- a/packages/entry/src/programOwner.ts
+++ b/packages/entry/src/programOwner.ts
@@ -40,6 +40,9 @@
 import type { ProgramRegistry } from './programRegistry';
 import { serviceCallKey, ServiceTurn } from './serviceTurn';
 
+/** A release without an answer for this long is left to the agent's sweep. */
+const RELEASE_TIMEOUT_MS = 2_000;
+
 const NO_USAGE = { inputTokens: 0, outputTokens: 0, cachedTokens: 0, rebuiltTokens: 0 };
 
 /** What an owner needs. */
@@ -193,6 +196,16 @@
     }
   }
 
+  /** Sets budget aside; a program that is out of budget keeps no engine memory. */
+  private async reserve(program: Program, tokens: number): Promise<void> {
+    try {
+      await program.budget.reserve(tokens);
+    } catch (error) {
+      if (toCallError(error).kind === 'budget-exhausted') this.releaseContext(program);
+      throw error;
+    }
+  }
+
   private async callModel(
     call: Call,
     body: ModelCallBody,
@@ -203,7 +216,7 @@
     const { dispatcher, clock } = this.options;
     const service = this.serviceOf(contract, body.service, 'model');
     const worst = worstCaseTokens(body);
-    await program.budget.reserve(worst);
+    await this.reserve(program, worst);
     let spent = worst;
     try {
       const mayWait = contract.mayWait.includes(service.name);
@@ -216,6 +229,7 @@
         endpoints: dispatcher,
         emittedText: call.emittedText,
         onText: call.onText,
+        release: (endpoint) => this.releaseAt(program, endpoint),
         pause: (ms) => clock.sleep(ms),
       });
       spent = worst - body.maximumTokens + result.outputTokens;
@@ -240,7 +254,7 @@
     const key = serviceCallKey(program.customer, body);
     const isUnresolved = program.unresolvedCalls.has(key);
     const mayHaveRunBefore = isUnresolved || program.recoveredAtTurn === program.turn;
-    await program.budget.reserve(service.costTokens);
+    await this.reserve(program, service.costTokens);
     program.unresolvedCalls.add(key);
     let spent = service.costTokens;
     try {
@@ -300,17 +314,21 @@
   }
 
   /** Asks every endpoint that the program visited to free its memory. */
-  private async releaseContext(program: Program): Promise<void> {
+  private releaseContext(program: Program): void {
+    program.takeVisited().forEach((endpoint) => this.releaseAt(program, endpoint));
+  }
+
+  private async releaseAt(program: Program, endpointId: string): Promise<void> {
     const { dispatcher } = this.options;
+    const endpoint = dispatcher.get(endpointId);
+    if (!endpoint) return;
     const fence = { partition: program.partition, epoch: program.epoch };
     const value = { fence, program: program.id };
-    const endpoints = [...program.visitedEndpoints].flatMap((id) => dispatcher.get(id) ?? []);
-    const options = { progressTimeoutMs: 2_000 };
-    await Promise.allSettled(
-      endpoints.map((endpoint) =>
-        dispatcher.send(endpoint, { case: 'releaseContext', value }, options),
-      ),
-    );
+    const options = { progressTimeoutMs: RELEASE_TIMEOUT_MS };
+    // What a lost request leaves behind, the agent's sweep of idle programs finds.
+    await dispatcher
+      .send(endpoint, { case: 'releaseContext', value }, options)
+      .catch(() => undefined);
   }
 
   /** Chains the turn to the history and holds it at two entries. */
--- a/packages/entry/src/programRegistry.ts
+++ b/packages/entry/src/programRegistry.ts
@@ -131,8 +131,10 @@
       holders,
       expiresMs,
     };
-    const program = new Program({ ...options, warmEndpoint: exact?.warmEndpoint ?? '' });
-    exact?.visitedEndpoints.forEach((endpoint) => program.visitedEndpoints.add(endpoint));
+    const visited = exact?.visitedEndpoints ?? continuation.endpoints;
+    const warmEndpoint = exact?.warmEndpoint ?? visited.at(-1) ?? '';
+    const program = new Program({ ...options, warmEndpoint });
+    visited.forEach((endpoint) => program.visit(endpoint));
     if (!exact) program.recoveredAtTurn = program.turn;
     this.programs.set(id, program);
     return program;
--- a/packages/history/src/continuation.ts
+++ b/packages/history/src/continuation.ts
@@ -16,6 +16,8 @@
   epoch: number;
   /** Ids of the entries that hold the history. */
   holders: string[];
+  /** Endpoints that may hold context of the program, the latest one last. */
+  endpoints: string[];
   expiresMs: number;
 }
 
--- a/packages/protocol/src/peerPool.ts
+++ b/packages/protocol/src/peerPool.ts
@@ -16,6 +16,8 @@
 
   private readonly clients = new Map<string, PeerClient>();
 
+  private isClosed = false;
+
   constructor(options: PeerPoolOptions) {
     this.options = options;
   }
@@ -25,6 +27,7 @@
     const existing = this.clients.get(address);
     if (existing) return existing;
     const client = new PeerClient({ address, ...this.options });
+    if (this.isClosed) client.close();
     this.clients.set(address, client);
     return client;
   }
@@ -38,8 +41,9 @@
     });
   }
 
-  /** Closes all connections. */
+  /** Closes all connections, for good. */
   close(): void {
+    this.isClosed = true;
     this.retain(new Set());
   }
 }
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -30,6 +30,8 @@
 
   private readonly heartbeat: NodeJS.Timeout;
 
+  private isClosed = false;
+
   constructor(options: PeerServerOptions) {
     this.options = options;
     const listener = connectNodeAdapter({
@@ -40,6 +42,8 @@
       ? http2.createSecureServer({ ...readTlsFiles(options.tls), requestCert: true }, listener)
       : http2.createServer(listener);
     this.server.on('session', (session) => {
+      // A connection that was on its way when the server closed would keep it open.
+      if (this.isClosed) session.destroy();
       this.sessions.add(session);
       session.on('error', () => session.destroy());
       session.on('close', () => this.sessions.delete(session));
@@ -70,10 +74,12 @@
     await new Promise((resolve) => {
       setImmediate(resolve);
     });
-    this.sessions.forEach((session) => session.destroy());
-    await new Promise<void>((resolve) => {
+    this.isClosed = true;
+    const closed = new Promise<void>((resolve) => {
       this.server.close(() => resolve());
     });
+    this.sessions.forEach((session) => session.destroy());
+    await closed;
   }
 
   private tick(): void {
--- a/packages/standins/src/httpStandin.ts
+++ b/packages/standins/src/httpStandin.ts
@@ -27,9 +27,10 @@
   async close(): Promise<void> {
     const { server } = this;
     if (!server) return;
-    server.closeAllConnections();
-    await new Promise<void>((resolve) => {
+    const closed = new Promise<void>((resolve) => {
       server.close(() => resolve());
     });
+    server.closeAllConnections();
+    await closed;
   }
 }
