Benchmarks of first token and failover with separate processes; property tests of budgets and of failure detection

Cause: budgets, detection and whole processes had no proof of their own. Change: budget property over takeovers, lost and delayed writes; failure detector over a fake peer interface; bench first-token and failover start the binary as processes.

--- /dev/null
+++ b/packages/bench/src/benchConfiguration.ts
@@ -0,0 +1,25 @@
+import { type ConfigurationFile, configurationFileSchema } from '@marjorampin/configuration';
+import { digestOf } from '@marjorampin/types';
+
+/** The caller's key in all benchmarks. */
+export const CALLER_KEY = 'bench-caller-key';
+
+/** One model service, one plain service and one contract without tight limits. */
+export function createBenchConfiguration(): ConfigurationFile {
+  return configurationFileSchema.parse({
+    services: [
+      { name: 'assistant', kind: 'model' },
+      { name: 'bookings', kind: 'plain', idempotentOperations: ['look-up'] },
+    ],
+    contracts: [
+      {
+        customer: 'bench',
+        keyDigests: [digestOf(CALLER_KEY)],
+        services: ['assistant', 'bookings'],
+        programBudgetTokens: 1_000_000,
+        limits: { concurrentPrograms: 1_000_000, callsPerSecond: 1_000_000 },
+        partitions: 64,
+      },
+    ],
+  });
+}
--- /dev/null
+++ b/packages/bench/src/firstToken.ts
@@ -0,0 +1,117 @@
+import { CallerClient, ProgramClient } from '@marjorampin/client';
+import { Agent, request } from 'undici';
+import { CALLER_KEY, createBenchConfiguration } from './benchConfiguration';
+import { ProcessCluster, sleep } from './processCluster';
+import { quantile } from './quantiles';
+import { writeResults } from './results';
+
+const REQUESTS_PER_SECOND = 70;
+const SECONDS = 20;
+const ENTRIES = 2;
+const PROGRAMS = 400;
+const OUTPUT_TOKENS = 20;
+const ENGINE_ARGUMENTS = ['--decode-step-ms', '2', '--batch-size', '256'];
+
+interface Samples {
+  direct: number[];
+  through: number[];
+}
+
+/** Measures what the path adds to the first token, against calls to the engine itself. */
+export async function measureFirstToken(): Promise<void> {
+  const cluster = new ProcessCluster({
+    configuration: createBenchConfiguration(),
+    entryCount: ENTRIES,
+    endpointCount: 2,
+    domains: ['domain-a', 'domain-b'],
+    engineArguments: ENGINE_ARGUMENTS,
+  });
+  try {
+    await cluster.start();
+    // Partitions settle on both entries before the load begins.
+    await sleep(4_000);
+    const results = await run(cluster);
+    console.log(JSON.stringify(results, null, 2));
+    console.log(`written to ${writeResults('first-token', results)}`);
+  } finally {
+    cluster.close();
+  }
+}
+
+async function run(cluster: ProcessCluster) {
+  const client = new CallerClient({ urls: cluster.urls, key: CALLER_KEY, rotates: true });
+  const dispatcher = new Agent({ connections: 512 });
+  const samples: Samples = { direct: [], through: [] };
+  const running: Promise<void>[] = [];
+  const idle = await openPrograms(client);
+  const total = REQUESTS_PER_SECOND * ENTRIES * SECONDS;
+  const startedMs = performance.now();
+  for (let index = 0; index < total; index += 1) {
+    const dueMs = (index * 1_000) / (REQUESTS_PER_SECOND * ENTRIES);
+    await sleep(Math.max(0, startedMs + dueMs - performance.now()));
+    running.push(callThrough(idle, samples, index));
+    // The engines' own load is the same for both kinds of calls, in the same run.
+    if (index % 10 === 0) running.push(callDirect(cluster, dispatcher, samples, index));
+  }
+  await Promise.all(running);
+  await client.close();
+  await dispatcher.destroy();
+  const p = (list: number[], share: number) => Number(quantile(list, share).toFixed(2));
+  return {
+    requestsPerSecondPerEntry: REQUESTS_PER_SECOND,
+    entries: ENTRIES,
+    samples: { direct: samples.direct.length, through: samples.through.length },
+    directMs: { p50: p(samples.direct, 0.5), p95: p(samples.direct, 0.95) },
+    throughMs: { p50: p(samples.through, 0.5), p95: p(samples.through, 0.95) },
+    addedMs: {
+      p50: Number((p(samples.through, 0.5) - p(samples.direct, 0.5)).toFixed(2)),
+      p95: Number((p(samples.through, 0.95) - p(samples.direct, 0.95)).toFixed(2)),
+    },
+    goalAddedMsP95: 5,
+  };
+}
+
+async function openPrograms(client: CallerClient): Promise<ProgramClient[]> {
+  const programs: ProgramClient[] = [];
+  for (let index = 0; index < PROGRAMS; index += 1) programs.push(await ProgramClient.open(client));
+  return programs;
+}
+
+async function callThrough(idle: ProgramClient[], samples: Samples, index: number): Promise<void> {
+  const program = idle.shift();
+  if (!program) throw new Error('all programs are busy; open more of them');
+  const input = `Question ${index}: what is this?`;
+  const call = { service: 'assistant', input, maximumTokens: OUTPUT_TOKENS, stream: true };
+  const { firstTextMs } = await program.callModel(call);
+  samples.through.push(firstTextMs);
+  idle.push(program);
+}
+
+async function callDirect(
+  cluster: ProcessCluster,
+  dispatcher: Agent,
+  samples: Samples,
+  index: number,
+): Promise<void> {
+  const engine = cluster.engines[index % cluster.engines.length];
+  const body = {
+    request: `direct-${index}`,
+    program: `direct-${index}`,
+    context: `Question ${index}: what is this?\n`,
+    resumeText: '',
+    maximumTokens: OUTPUT_TOKENS,
+    priority: 1,
+  };
+  const startedMs = performance.now();
+  const response = await request(`${engine?.url}/generate`, {
+    method: 'POST',
+    dispatcher,
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  let isFirst = true;
+  for await (const chunk of response.body) {
+    if (isFirst && chunk) samples.direct.push(performance.now() - startedMs);
+    isFirst = false;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,21 @@
+/** Entry point of the benchmarks: `npm run bench -- NAME`. */
+import { measureFailover } from './failover';
+import { measureFirstToken } from './firstToken';
+
+const BENCHMARKS: Record<string, () => Promise<void>> = {
+  'first-token': measureFirstToken,
+  failover: measureFailover,
+};
+
+async function main(): Promise<void> {
+  const [name = ''] = process.argv.slice(2);
+  const benchmark = BENCHMARKS[name];
+  if (!benchmark) {
+    console.error(`"${name}" is no benchmark; use one of: ${Object.keys(BENCHMARKS).join(', ')}`);
+    process.exitCode = 2;
+    return;
+  }
+  await benchmark();
+}
+
+main();
--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -65,11 +65,12 @@
   add('status', 'Show what an entry knows', printStatus)
     .option('--url <url>', 'URL of an entry', { default: 'http://127.0.0.1:7400' })
     .option('--key <key>', 'Operator key (or MARJORAMPIN_OPERATOR_KEY)');
-  add('standin <system>', 'Run a stand-in: engine, service or platform', runStandin).option(
-    '--address <address>',
-    'Where to listen',
-    { default: '127.0.0.1:0' },
-  );
+  add('standin <system>', 'Run a stand-in: engine, service or platform', runStandin)
+    .option('--address <address>', 'Where to listen', { default: '127.0.0.1:0' })
+    .option('--decode-step-ms <ms>', 'Engine: duration of a decoding step')
+    .option('--prefill-tokens-per-ms <tokens>', 'Engine: speed of building context')
+    .option('--batch-size <count>', 'Engine: sequences in a step')
+    .option('--cache-tokens <tokens>', 'Engine: size of the prefix cache');
   cli.help();
   cli.version(VERSION);
 
--- a/packages/client/src/callerClient.ts
+++ b/packages/client/src/callerClient.ts
@@ -43,7 +43,7 @@
 
 /** Sends calls to the entries and goes to another one when a connection breaks. */
 export class CallerClient {
-  private readonly urls: string[];
+  private urls: string[];
 
   private readonly key: string;
 
@@ -59,6 +59,11 @@
     this.rotates = rotates;
   }
 
+  /** Replaces the entries, as a balancer does. */
+  setUrls(urls: string[]): void {
+    this.urls = urls;
+  }
+
   /** Closes the connections. */
   async close(): Promise<void> {
     await this.dispatcher.destroy();
--- a/packages/entry/src/__tests__/atMostOnce.test.ts
+++ b/packages/entry/src/__tests__/atMostOnce.test.ts
@@ -1,39 +1,33 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import { CallRegister } from '@marjorampin/agent';
-import { type AppendOutcome, type LedgerRecord, LedgerShard } from '@marjorampin/ledger';
 import { MemoryEventLog } from '@marjorampin/logging';
-import {
-  type Changes,
-  type CompareAndSwap,
-  KeyValueStore,
-  MemoryKeyValueStore,
-  type Snapshot,
-  type StoredValue,
-  StoreError,
-} from '@marjorampin/platform';
 import { create } from '@bufbuild/protobuf';
 import { type Reply, ReplySchema, type RequestBody } from '@marjorampin/protocol';
 import {
   CallError,
-  Clock,
+  type Clock,
   createProgramId,
   type Endpoint,
   EpochFence,
-  Err,
-  type Result,
   toCallError,
 } from '@marjorampin/types';
 import fc from 'fast-check';
 import { BudgetAccount } from '../budgetAccount';
 import { serviceSchema as serviceCallSchema } from '../calls';
 import { Endpoints } from '../endpointDispatcher';
-import { Ledger } from '../ledgerClient';
+import type { Ledger } from '../ledgerClient';
 import { Program } from '../program';
 import { ServiceTurn } from '../serviceTurn';
-
-const SEED = Number(process.env.FAST_CHECK_SEED ?? 20261204);
-const RUNS = Number(process.env.FAST_CHECK_RUNS ?? 1_200);
+import {
+  type Fate,
+  Fates,
+  fatesArbitrary,
+  openLedger,
+  PROPERTY,
+  ScheduledClock,
+  ScheduledStore,
+} from './scheduledFakes';
 
 const SERVICE = {
   name: 'bookings',
@@ -45,112 +39,6 @@
   checksFencing: true,
 };
 
-/** What happens to one message or write. */
-type Fate = 'delivered' | 'refused' | 'answer-lost' | 'delayed';
-
-/** Fates in the order of use; what comes after them is delivered. */
-class Fates {
-  private readonly fates: Fate[];
-
-  constructor(fates: Fate[]) {
-    this.fates = [...fates];
-  }
-
-  next(): Fate {
-    return this.fates.shift() ?? 'delivered';
-  }
-}
-
-class ScheduledClock extends Clock {
-  private timeMs = 0;
-
-  private readonly scheduler: fc.Scheduler;
-
-  constructor(scheduler: fc.Scheduler) {
-    super();
-    this.scheduler = scheduler;
-  }
-
-  override now(): number {
-    return this.timeMs;
-  }
-
-  override wallTime(): number {
-    return this.timeMs;
-  }
-
-  override async sleep(ms: number): Promise<void> {
-    await this.scheduler.schedule(Promise.resolve());
-    this.timeMs += ms;
-  }
-}
-
-/** A store whose requests are interleaved, refused, or lose their answers. */
-class ScheduledStore extends KeyValueStore {
-  private readonly store = new MemoryKeyValueStore();
-
-  private readonly scheduler: fc.Scheduler;
-
-  private readonly fates: Fates;
-
-  constructor(scheduler: fc.Scheduler, fates: Fates) {
-    super();
-    this.scheduler = scheduler;
-    this.fates = fates;
-  }
-
-  override async get(key: string): Promise<Result<StoredValue | undefined, StoreError>> {
-    await this.scheduler.schedule(Promise.resolve());
-    if (this.fates.next() === 'refused') return Err(failure('unavailable'));
-    return this.store.get(key);
-  }
-
-  override list(prefix: string): Promise<Result<Snapshot, StoreError>> {
-    return this.store.list(prefix);
-  }
-
-  override async compareAndSwap(write: CompareAndSwap): Promise<Result<number, StoreError>> {
-    await this.scheduler.schedule(Promise.resolve());
-    const fate = this.fates.next();
-    if (fate === 'refused') return Err(failure('unavailable'));
-    if (fate === 'delayed') {
-      this.scheduler.schedule(Promise.resolve()).then(() => this.store.compareAndSwap(write));
-      return Err(failure('ambiguous'));
-    }
-    const written = await this.store.compareAndSwap(write);
-    return fate === 'answer-lost' ? Err(failure('ambiguous')) : written;
-  }
-
-  override remove(key: string, version: number): Promise<Result<void, StoreError>> {
-    return this.store.remove(key, version);
-  }
-
-  override watch(prefix: string, revision: number): Promise<Result<Changes, StoreError>> {
-    return this.store.watch(prefix, revision, 0);
-  }
-}
-
-function failure(kind: 'unavailable' | 'ambiguous'): StoreError {
-  return new StoreError({ kind, message: kind });
-}
-
-class ShardLedger extends Ledger {
-  private readonly shard: LedgerShard;
-
-  constructor(shard: LedgerShard) {
-    super();
-    this.shard = shard;
-  }
-
-  override append(record: LedgerRecord): Promise<Result<AppendOutcome, CallError>> {
-    return this.shard.append([record]);
-  }
-
-  override read(key: string): Promise<Result<LedgerRecord | undefined, CallError>> {
-    return this.shard.read(key);
-  }
-}
-
 interface FakeAgent {
   endpoint: Endpoint;
   register: CallRegister;
@@ -266,11 +154,6 @@
   agent: fc.integer({ min: 0, max: 1 }),
 });
 
-const fatesArbitrary = fc.array(
-  fc.constantFrom<Fate>('delivered', 'delivered', 'refused', 'answer-lost', 'delayed'),
-  { maxLength: 40 },
-);
-
 interface Verdict {
   key: string;
   execution: 'answered' | 'not-run' | 'done' | 'unknown';
@@ -324,13 +207,6 @@
   return { verdicts, executions: endpoints.executions };
 }
 
-function openLedger(store: KeyValueStore, clock: Clock, epoch: number): Ledger {
-  const writer = `entry-${epoch}`;
-  return new ShardLedger(
-    new LedgerShard({ store, shard: 0, writer, clock, maximumTailBytes: 600 }),
-  );
-}
-
 function createTurn(options: {
   key: string;
   epoch: number;
@@ -397,6 +273,6 @@
         });
       },
     ),
-    { seed: SEED, numRuns: RUNS },
+    PROPERTY,
   );
 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,7 @@
 import { randomUUID } from 'node:crypto';
 import { readFileSync } from 'node:fs';
 import type { AddressInfo } from 'node:net';
-import { ConfigurationView } from '@marjorampin/configuration';
+import { ConfigurationView, ConfigurationWriter } from '@marjorampin/configuration';
 import { DiskHistoryStore, MemoryHistoryStore } from '@marjorampin/history';
 import type { EventLog } from '@marjorampin/logging';
 import {
@@ -126,6 +126,7 @@
       this.table.start(),
       this.dispatcher.start(),
     ]);
+    await this.ensureSealingKey();
     await this.register();
     const router = await this.assemble();
     const callers = await this.listenForCallers(router);
@@ -182,6 +183,14 @@
     await this.members.register({ id, address, domain, incarnation, leaving });
   }
 
+  /** The first entry of a new system makes the key that seals continuations. */
+  private async ensureSealingKey(): Promise<void> {
+    const { store, log } = this.options;
+    if (this.configuration.sealingKeys.length > 0) return;
+    const written = await new ConfigurationWriter({ store }).ensureSealingKey();
+    if (written.err) log.write('storeUnavailable', { reason: written.val.message });
+  }
+
   /** The others took this entry for dead, for instance after a pause. */
   private reregisterWhenRemoved(): void {
     const { id, log } = this.options;
