--- a/packages/bench/src/failover.ts
+++ b/packages/bench/src/failover.ts
@@ -10,7 +10,14 @@
 const ROUNDS = Number(process.env.FAILOVER_ROUNDS ?? 20);
 const PAUSE_MS = 5_000;
 const SETTLE_MS = 3_500;
-const ENGINE_ARGUMENTS = ['--decode-step-ms', '4', '--batch-size', '128'];
+const ENGINE_ARGUMENTS = [
+  '--decode-step-ms',
+  '4',
+  '--batch-size',
+  '128',
+  '--prefill-tokens-per-ms',
+  '200',
+];
 
 /** What is done to a process. */
 type Fault = 'kill-entry' | 'pause-entry' | 'drain-entry' | 'kill-agent' | 'drain-agent';
--- a/packages/bench/src/firstToken.ts
+++ b/packages/bench/src/firstToken.ts
@@ -10,7 +10,14 @@
 const ENTRIES = 2;
 const PROGRAMS = 400;
 const OUTPUT_TOKENS = 20;
-const ENGINE_ARGUMENTS = ['--decode-step-ms', '2', '--batch-size', '256'];
+const ENGINE_ARGUMENTS = [
+  '--decode-step-ms',
+  '2',
+  '--batch-size',
+  '256',
+  '--prefill-tokens-per-ms',
+  '200',
+];
 
 interface Samples {
   direct: number[];
--- a/packages/entry/src/endpointDispatcher.ts
+++ b/packages/entry/src/endpointDispatcher.ts
@@ -116,6 +116,13 @@
     }
   }
 
+  /** Takes in an agent's report. */
+  report(id: string, load: ReportedLoad, isLeaving: boolean): void {
+    const wasLeaving = this.directory.get(id)?.isLeaving ?? true;
+    if (isLeaving && !wasLeaving) this.options.log.write('endpointLeaving', { endpoint: id });
+    this.directory.report(id, load, isLeaving);
+  }
+
   override get(id: string): Endpoint | undefined {
     return this.directory.get(id)?.endpoint;
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -225,7 +225,9 @@
         handovers.dropPartitions(new Set(lost.map(({ partition }) => partition)));
         sender.send(lost);
       },
+      onHandedOver: (partition) => receiver.apply(partition),
     });
+    const receiver = new HandoverReceiver({ handovers, ownership, history });
     const owner = new ProgramOwner({
       configuration,
       registry,
@@ -241,9 +243,7 @@
     });
     const neighbours = new PeerNeighbours({ self, members, peers, log });
     const detector = new FailureDetector({ self, neighbours, clock, hash });
-    const receiver = new HandoverReceiver({ handovers, ownership, history });
-    const endpoints = dispatcher.directory;
-    this.handler.open({ owner, history, ledger, detector, handovers: receiver, endpoints });
+    this.handler.open({ owner, history, ledger, detector, handovers: receiver, dispatcher });
     this.ownership = ownership;
     this.detector = detector;
     this.history = history;
--- a/packages/entry/src/entryHandler.ts
+++ b/packages/entry/src/entryHandler.ts
@@ -5,9 +5,9 @@
   PeerHandler,
   type Request,
 } from '@marjorampin/protocol';
-import type { EndpointDirectory } from '@marjorampin/routing';
 import { CallError } from '@marjorampin/types';
 import type { CallMethod } from './calls';
+import type { EndpointDispatcher } from './endpointDispatcher';
 import type { HistoryKeeper } from './historyKeeper';
 import type { HandoverReceiver } from './handoverReceiver';
 import type { LedgerClient } from './ledgerClient';
@@ -26,7 +26,7 @@
   ledger: LedgerClient;
   detector: FailureDetector;
   handovers: HandoverReceiver;
-  endpoints: EndpointDirectory;
+  dispatcher: EndpointDispatcher;
 }
 
 /** Answers the requests of other entries and takes in the agents' reports. */
@@ -78,7 +78,7 @@
 
   override handleReport(report: EndpointReport): void {
     const { endpoint, leaving, running, queued, cachedTokens } = report;
-    this.options?.endpoints.report(endpoint, { running, queued, cachedTokens }, leaving);
+    this.options?.dispatcher.report(endpoint, { running, queued, cachedTokens }, leaving);
   }
 
   private async executeForwarded(
--- a/packages/entry/src/handoverReceiver.ts
+++ b/packages/entry/src/handoverReceiver.ts
@@ -16,14 +16,27 @@
 export class HandoverReceiver {
   private readonly options: HandoverReceiverOptions;
 
+  /** Words that came before this process saw that it owns the partition. */
+  private readonly early = new Map<number, Handover>();
+
   constructor(options: HandoverReceiverOptions) {
     this.options = options;
   }
 
-  /** Notes a partition's programs, if the former owner's word is awaited. */
-  receive({ partition, epoch, programs, sender }: Handover): void {
+  /** Notes a partition's programs; the word may come before the table says so here. */
+  receive(handover: Handover): void {
+    this.early.set(handover.partition, handover);
+    this.apply(handover.partition);
+  }
+
+  /** Applies a former owner's word, if it is awaited and has come. */
+  apply(partition: number): void {
     const { handovers, ownership } = this.options;
+    const handover = this.early.get(partition);
+    if (!handover) return;
+    const { epoch, programs, sender } = handover;
     if (!ownership.isAwaited(partition, epoch, sender)) return;
+    this.early.delete(partition);
     handovers.receive(epoch, sender, programs.map(snapshotOf));
     ownership.receiveHandover(partition);
   }
--- a/packages/entry/src/handoverSender.ts
+++ b/packages/entry/src/handoverSender.ts
@@ -48,6 +48,8 @@
     const value = { program: stateOf(program), ...(segment ? { segment } : {}) };
     const options = { progressTimeoutMs: SETTLE_TIMEOUT_MS };
     const reply = await peers.get(address).call({ case: 'programSettled', value }, options);
+    const departed = program;
+    departed.isDepartureReported = true;
     return reply.body.case === 'heldBy' ? reply.body.value.holders : [];
   }
 
--- a/packages/entry/src/ownership.ts
+++ b/packages/entry/src/ownership.ts
@@ -34,6 +34,8 @@
   log: EventLog;
   /** Called with partitions that another entry owns now. */
   onLost(partitions: { partition: number; owner: string; epoch: number }[]): void;
+  /** Called with a partition that another entry handed over. */
+  onHandedOver(partition: number): void;
 }
 
 interface Owned {
@@ -238,6 +240,7 @@
     const isClaimed = this.claimed.get(partition) === epoch;
     const awaiting = isClaimed ? '' : (this.lastOwners[partition] ?? '');
     this.owned.set(partition, { epoch, awaiting, sinceMs: this.options.clock.now() });
+    if (awaiting !== '') this.options.onHandedOver(partition);
   }
 
   private notOwner(partition: number): CallError {
--- a/packages/entry/src/program.ts
+++ b/packages/entry/src/program.ts
@@ -56,6 +56,9 @@
   /** Address of the entry that took the program over while a call was running here. */
   departedTo: string | undefined;
 
+  /** The new owner was told how the call ended that ran here. */
+  isDepartureReported = false;
+
   private tail: Promise<unknown> = Promise.resolve();
 
   private readonly running = new Map<string, Promise<string>>();
--- a/packages/entry/src/programOwner.ts
+++ b/packages/entry/src/programOwner.ts
@@ -144,13 +144,23 @@
     const { continuation: sealed, transcript: turns, ...request } = body;
     const identity = digestOf(JSON.stringify([call.method, continuation.turn, request]));
     return program.enqueue(identity, async () => {
-      const stored = findStored(program, continuation, identity);
-      if (stored) return JSON.stringify(this.repeat(program, stored));
-      await this.checkStillOwned(program);
-      return this.runTurn(call, body, contract, program, identity);
+      try {
+        const stored = findStored(program, continuation, identity);
+        if (stored) return JSON.stringify(this.repeat(program, stored));
+        await this.checkStillOwned(program);
+        return await this.runTurn(call, body, contract, program, identity);
+      } finally {
+        this.reportDeparted(program);
+      }
     });
   }
 
+  /** The new owner waits for the end of a departed program's call before it takes it up. */
+  private reportDeparted(program: Program): void {
+    if (!program.departedTo || program.isDepartureReported) return;
+    this.options.settleDeparted(program).catch(() => undefined);
+  }
+
   private async runTurn(
     call: Call,
     body: TurnBody,
@@ -158,16 +168,10 @@
     program: Program,
     identity: string,
   ): Promise<string> {
-    try {
-      const outcome = await this.dispatchTurn(call, body, contract, program, identity);
-      await this.keep(program, outcome, identity);
-      if (outcome.kind === 'end') await this.finish(program);
-      return JSON.stringify(this.answer(program, program.turn, outcome.usage));
-    } catch (error) {
-      // The new owner waits for this call's end before it takes up the program.
-      if (program.departedTo) this.options.settleDeparted(program).catch(() => undefined);
-      throw error;
-    }
+    const outcome = await this.dispatchTurn(call, body, contract, program, identity);
+    await this.keep(program, outcome, identity);
+    if (outcome.kind === 'end') await this.finish(program);
+    return JSON.stringify(this.answer(program, program.turn, outcome.usage));
   }
 
   private async checkStillOwned(program: Program): Promise<void> {
--- /dev/null
+++ b/packages/logging/src/__tests__/events.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import { readdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { dirname, join } from 'node:path';
+import test from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { renderEventCatalogue } from '../eventCatalogue';
+import { EVENTS } from '../events';
+
+const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../../../..');
+const PAGE = join(ROOT, 'docs/events.md');
+
+function sources(): string {
+  return readdirSync(join(ROOT, 'packages'), { recursive: true, encoding: 'utf8' })
+    .filter((path) => path.endsWith('.ts') && !/__tests__|node_modules|events\.ts/.test(path))
+    .map((path) => readFileSync(join(ROOT, 'packages', path), 'utf8'))
+    .join('\n');
+}
+
+test('the page of events is the one that the code makes', () => {
+  const page = renderEventCatalogue();
+  if (process.env.UPDATE_DOCS === '1') writeFileSync(PAGE, page);
+  const words = (text: string) => text.replace(/[\s|-]+/g, ' ').trim();
+  assert.equal(words(readFileSync(PAGE, 'utf8')), words(page));
+});
+
+test('every event has its own number', () => {
+  const numbers = Object.values(EVENTS).map(({ number }) => number);
+  assert.equal(new Set(numbers).size, numbers.length);
+});
+
+test('every event is written somewhere', () => {
+  const text = sources();
+  const unused = Object.keys(EVENTS).filter((name) => !text.includes(`'${name}'`));
+  assert.deepEqual(unused, []);
+});
--- a/packages/logging/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -1,3 +1,4 @@
 /** Numbered events and where they are written. */
+export * from './eventCatalogue';
 export * from './eventLog';
 export * from './events';
