--- a/packages/entry/src/endpointDispatcher.ts
+++ b/packages/entry/src/endpointDispatcher.ts
@@ -2,7 +2,12 @@
 import type { Metrics } from '@marjorampin/metrics';
 import { ENDPOINT_PREFIX, type KeyValueStore, WatchedPrefix } from '@marjorampin/platform';
 import type { PeerPool, Reply, RequestBody } from '@marjorampin/protocol';
-import { chooseEndpoint, type ChoiceRequest, EndpointDirectory } from '@marjorampin/routing';
+import {
+  chooseEndpoint,
+  type ChoiceRequest,
+  EndpointDirectory,
+  type ReportedLoad,
+} from '@marjorampin/routing';
 import { CallError, type Clock, type Endpoint, toCallError } from '@marjorampin/types';
 
 /** A service without an available endpoint is waited for this long before a call is refused. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -93,6 +93,10 @@
 
   private history: HistoryKeeper | undefined;
 
+  private registry: ProgramRegistry | undefined;
+
+  private receiver: HandoverReceiver | undefined;
+
   private isLeaving = false;
 
   private isStopped = false;
@@ -171,8 +175,6 @@
     await this.peerServer.close();
   }
 
-  private registry: ProgramRegistry | undefined;
-
   private hasDepartedCalls(): boolean {
     return (this.registry?.all() ?? []).some((program) => program.isRunning);
   }
@@ -225,9 +227,10 @@
         handovers.dropPartitions(new Set(lost.map(({ partition }) => partition)));
         sender.send(lost);
       },
-      onHandedOver: (partition) => receiver.apply(partition),
+      onHandedOver: (partition) => this.receiver?.apply(partition),
     });
     const receiver = new HandoverReceiver({ handovers, ownership, history });
+    this.receiver = receiver;
     const owner = new ProgramOwner({
       configuration,
       registry,
