Error budgets and their burn; the end of a departed call is told until it is heard; probes by a hash ring

Cause: (1) a call's end that reached the new owner before the handover was applied there was dropped, so that the program waited a minute; seen as a stalled failover run. Change: the receiver waits for the table, the sender repeats; monitors come from a hash ring that is built only when members change; report burn over 5 min, 1 h, 6 h and 3 d.

--- /dev/null
+++ b/packages/bench/src/capacity/measureCapacity.ts
@@ -0,0 +1,234 @@
+import { readFileSync, writeFileSync } from 'node:fs';
+import { BudgetAccount, type Ledger, Program } from '@marjorampin/entry';
+import { createSegment, MemoryHistoryStore } from '@marjorampin/history';
+import { createLedgerRecord, LedgerShard } from '@marjorampin/ledger';
+import { loadHash, type Member, MonitorRing, rendezvousOrder } from '@marjorampin/membership';
+import { MemoryKeyValueStore } from '@marjorampin/platform';
+import { chooseEndpoint, EndpointDirectory } from '@marjorampin/routing';
+import { createProgramId, type Endpoint, ManualClock, SystemClock } from '@marjorampin/types';
+import { renderCapacityTables, replaceTables } from './capacityPage';
+import { fitSlope, type Point, type Slope } from './slope';
+
+const RESULTS = 'docs/capacity.json';
+const PAGE = 'docs/CAPACITY.md';
+const SIZES = [2_000, 8_000, 32_000];
+
+/** A measured slope with the code that it belongs to. */
+export interface MeasuredSlope extends Slope {
+  name: string;
+  unit: string;
+  points: Point[];
+  code: string;
+}
+
+/** All slopes, as they are kept beside the page. */
+export interface CapacityResults {
+  slopes: MeasuredSlope[];
+}
+
+/** Measures memory and processor time by size, and writes the page's tables. */
+export async function measureCapacity(): Promise<void> {
+  if (!globalThis.gc) throw new Error('run with "node --expose-gc --import tsx"');
+  const slopes = [
+    ...(await measureMemory()),
+    await measureRing(),
+    await measureRendezvous(),
+    await measureChoice(),
+    await measureLedgerWrites(),
+  ];
+  const results: CapacityResults = { slopes };
+  writeFileSync(RESULTS, `${JSON.stringify(results, null, 2)}\n`);
+  writeFileSync(PAGE, replaceTables(readFileSync(PAGE, 'utf8'), renderCapacityTables(results)));
+  slopes.forEach(({ name, perUnit, unit, residual }) => {
+    console.log(
+      `${name}: ${perUnit.toPrecision(3)} ${unit}, residual ${(residual * 100).toFixed(1)}%`,
+    );
+  });
+}
+
+async function measureMemory(): Promise<MeasuredSlope[]> {
+  const ledger = undefined as unknown as Ledger;
+  const createProgram = (index: number) => {
+    const id = createProgramId({ customer: 'customer', partition: index % 4_096 });
+    const budget = new BudgetAccount({ program: id, granted: 100_000, epoch: 1, ledger });
+    const options = { customer: 'customer', parent: '', partition: index % 4_096, epoch: 1 };
+    return new Program({ id, ...options, budget, expiresMs: 0 });
+  };
+  const endpointAt = (index: number): Endpoint => ({
+    id: `assistant-${index}`,
+    service: 'assistant',
+    agentAddress: '10.0.0.1:7500',
+    incarnation: `0a1b2c3d-${index}`,
+    domain: 'zone-1',
+    state: 'live',
+  });
+  return [
+    await memorySlope(
+      'memory of a program at its owner, without history',
+      'entry/program.ts',
+      async (size) => Array.from({ length: size }, (_, index) => createProgram(index)),
+    ),
+    await memorySlope(
+      'memory of a history segment of 1 KB, held in memory',
+      'history/historyStore.ts',
+      async (size) => {
+        const store = new MemoryHistoryStore();
+        for (let index = 0; index < size; index += 1) {
+          const text = `${index} `.repeat(Math.ceil(512 / `${index} `.length));
+          const fields = { program: `p${index % 100}`, turn: Math.floor(index / 100) + 1 };
+          const content = {
+            request: text,
+            answer: `${text}.`,
+            requestDigest: '',
+            previousDigest: '',
+          };
+          await store.store(createSegment({ ...fields, ...content, kind: 'model', spent: 0 }));
+        }
+        return store;
+      },
+    ),
+    await memorySlope(
+      'memory of an endpoint in the directory',
+      'routing/endpointDirectory.ts',
+      async (size) => {
+        const directory = new EndpointDirectory({ clock: new SystemClock() });
+        directory.update(Array.from({ length: size }, (_, index) => endpointAt(index)));
+        return directory;
+      },
+    ),
+    await memorySlope(
+      'memory of a key at a ledger writer',
+      'ledger/ledgerShard.ts',
+      async (size) => {
+        const store = new MemoryKeyValueStore();
+        const shard = new LedgerShard({
+          store,
+          shard: 0,
+          writer: 'entry-0',
+          clock: new SystemClock(),
+          commitIntervalMs: 0,
+        });
+        const appends = Array.from({ length: size }, (_, index) =>
+          shard.append([
+            createLedgerRecord({
+              key: `call/customer/bookings/${index}`,
+              kind: 'intent',
+              attempt: 1,
+              program: `customer.0001.${index}`,
+              endpoint: 'bookings-0',
+              incarnation: '0a1b2c3d',
+            }),
+          ]),
+        );
+        await Promise.all(appends);
+        return shard;
+      },
+      [2_000, 4_000, 8_000],
+    ),
+  ];
+}
+
+async function memorySlope(
+  name: string,
+  code: string,
+  build: (size: number) => Promise<unknown>,
+  sizes = SIZES,
+): Promise<MeasuredSlope> {
+  const points: Point[] = [];
+  for (const size of sizes) {
+    globalThis.gc?.();
+    const before = process.memoryUsage().heapUsed;
+    const built = await build(size);
+    globalThis.gc?.();
+    points.push({ size, value: process.memoryUsage().heapUsed - before });
+    // Keeps the structure alive until it was measured.
+    if (built === undefined) throw new Error('nothing was built');
+  }
+  return { name, code, unit: 'bytes', points, ...fitSlope(points) };
+}
+
+function createMembers(size: number): Member[] {
+  return Array.from({ length: size }, (_, index) => ({
+    id: `entry-${index}`,
+    address: '',
+    domain: `domain-${index % 18}`,
+    incarnation: '1',
+    leaving: false,
+    token: '',
+  }));
+}
+
+/** Processor time of finding who watches whom after a change, by the number of members. */
+async function measureRing(): Promise<MeasuredSlope> {
+  const hash = await loadHash();
+  const points = [100, 400, 1_300].map((size) => {
+    const members = createMembers(size);
+    const value = microsecondsOf(30, () => new MonitorRing({ members, hash }).watchedBy('entry-1'));
+    return { size, value };
+  });
+  const name = 'processor time of a change of members, for each member';
+  return { name, code: 'membership/monitorRing.ts', unit: 'µs', points, ...fitSlope(points) };
+}
+
+/** Processor time of finding who comes first for one partition, by the number of members. */
+async function measureRendezvous(): Promise<MeasuredSlope> {
+  const hash = await loadHash();
+  const points = [100, 400, 1_300].map((size) => {
+    const ids = createMembers(size).map(({ id }) => id);
+    return { size, value: microsecondsOf(200, (round) => rendezvousOrder(ids, round, hash)) };
+  });
+  const name = 'processor time of one rendezvous order, for each member';
+  return { name, code: 'membership/rendezvous.ts', unit: 'µs', points, ...fitSlope(points) };
+}
+
+/** Processor time of choosing an endpoint, by the number of endpoints that are known. */
+async function measureChoice(): Promise<MeasuredSlope> {
+  const points = [10, 100, 1_000].map((size) => {
+    const directory = new EndpointDirectory({ clock: new SystemClock() });
+    const endpoints = Array.from({ length: size }, (_, index) => ({
+      id: `assistant-${index}`,
+      service: 'assistant',
+      agentAddress: '',
+      incarnation: '1',
+      domain: '',
+      state: 'live' as const,
+    }));
+    directory.update(endpoints);
+    const request = { warmEndpoint: 'assistant-3', contextTokens: 1_000, wastedCachePriceMs: 0.1 };
+    const value = microsecondsOf(300, () =>
+      chooseEndpoint(directory.available('assistant'), request),
+    );
+    return { size, value };
+  });
+  const name = 'processor time of one choice, for each endpoint known';
+  return { name, code: 'routing/chooseEndpoint.ts', unit: 'µs', points, ...fitSlope(points) };
+}
+
+/** Writes to the store by the number of appends in ten seconds at one shard. */
+async function measureLedgerWrites(): Promise<MeasuredSlope> {
+  const points: Point[] = [];
+  for (const size of [1_000, 4_000, 16_000]) {
+    const store = new MemoryKeyValueStore();
+    const clock = new ManualClock();
+    const shard = new LedgerShard({ store, shard: 0, writer: 'entry-0', clock });
+    const seconds = 10;
+    for (let tick = 0; tick < seconds * 100; tick += 1) {
+      for (let index = 0; index < size / (seconds * 100); index += 1) {
+        const key = `call/${tick}/${index}`;
+        shard.append([createLedgerRecord({ key, kind: 'intent', attempt: 1 })]);
+      }
+      await clock.advance(10);
+    }
+    points.push({ size: size / seconds, value: store.counts.writes / seconds });
+  }
+  const name = 'writes to the store a second at one ledger shard, for each append a second';
+  return { name, code: 'ledger/ledgerShard.ts', unit: 'writes', points, ...fitSlope(points) };
+}
+
+function microsecondsOf(rounds: number, run: (round: number) => unknown): number {
+  for (let round = 0; round < rounds; round += 1) run(round);
+  const before = process.cpuUsage();
+  for (let round = 0; round < rounds; round += 1) run(round);
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / rounds;
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,9 +1,11 @@
 /** Entry point of the benchmarks: `npm run bench -- NAME`. */
+import { measureCapacity } from './capacity/measureCapacity';
 import { measureFailover } from './failover';
 import { measureFirstToken } from './firstToken';
 import { measurePolicy } from './policy/measurePolicy';
 
 const BENCHMARKS: Record<string, () => Promise<void>> = {
+  capacity: measureCapacity,
   'first-token': measureFirstToken,
   failover: measureFailover,
   policy: measurePolicy,
--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -3,6 +3,7 @@
 import { runDemo } from './commands/demo';
 import { runDevelopment } from './commands/development';
 import { runAgent, runEntry } from './commands/processes';
+import { printReport } from './commands/report';
 import { checkSettings } from './commands/settings';
 import { runStandin } from './commands/standin';
 import { printStatus } from './commands/status';
@@ -65,6 +66,12 @@
   add('status', 'Show what an entry knows', printStatus)
     .option('--url <url>', 'URL of an entry', { default: 'http://127.0.0.1:7400' })
     .option('--key <key>', 'Operator key (or MARJORAMPIN_OPERATOR_KEY)');
+  add('report <name>', 'burn: show how fast error budgets burn', printReport)
+    .option('--url <urls>', 'URLs of the entries, separated by commas', {
+      default: 'http://127.0.0.1:7400',
+    })
+    .option('--key <key>', 'Operator key (or MARJORAMPIN_OPERATOR_KEY)')
+    .option('--json', 'Print JSON');
   add('standin <system>', 'Run a stand-in: engine, service or platform', runStandin)
     .option('--address <address>', 'Where to listen', { default: '127.0.0.1:0' })
     .option('--decode-step-ms <ms>', 'Engine: duration of a decoding step')
--- /dev/null
+++ b/packages/cli/src/commands/report.ts
@@ -0,0 +1,17 @@
+import { mergeBurn, type ProcessBurn, renderBurn } from '@marjorampin/metrics';
+import { type AdministrationOptions, administer } from './administration';
+
+interface ReportOptions extends AdministrationOptions {
+  json?: boolean;
+}
+
+/** Prints how fast each contract's error budget burns, merged from all listed entries. */
+export async function printReport(name: string, options: ReportOptions): Promise<void> {
+  if (name !== 'burn') throw new Error('use "report burn"');
+  const urls = options.url.split(',');
+  const processes = await Promise.all(
+    urls.map((url) => administer('GET', '/burn', { ...options, url })),
+  );
+  const rows = mergeBurn(processes as ProcessBurn[]);
+  console.log(options.json ? JSON.stringify(rows, null, 2) : renderBurn(rows));
+}
--- a/packages/configuration/src/configurationSchema.ts
+++ b/packages/configuration/src/configurationSchema.ts
@@ -17,6 +17,7 @@
   limits: z.strictObject({ concurrentPrograms: count, callsPerSecond: count }),
   partitions: count.max(4_096).default(8),
   programLifetimeMs: count.default(86_400_000),
+  objective: z.number().gt(0).lt(1).default(0.999),
 });
 
 /** Shape of a service as operators write it. */
--- a/packages/configuration/src/configurationView.ts
+++ b/packages/configuration/src/configurationView.ts
@@ -53,6 +53,15 @@
     return this.contracts.get(customer);
   }
 
+  /** Returns the objectives of all customers. */
+  objectives(): Record<string, number> {
+    const entries = [...this.contracts.values()].map(({ customer, objective }) => [
+      customer,
+      objective,
+    ]);
+    return Object.fromEntries(entries) as Record<string, number>;
+  }
+
   /** Returns the contract to which a caller's key belongs. */
   contractOfKey(key: string): Contract | undefined {
     return this.contracts.get(this.customersByKey.get(digestOf(key)) ?? '');
--- a/packages/entry/src/administrationApi.ts
+++ b/packages/entry/src/administrationApi.ts
@@ -5,6 +5,7 @@
   serviceSchema,
 } from '@marjorampin/configuration';
 import type { EventLog } from '@marjorampin/logging';
+import type { BurnRecorder, ProcessBurn } from '@marjorampin/metrics';
 import type { KeyValueStore, StoreError } from '@marjorampin/platform';
 import { CallError, digestOf, toCallError } from '@marjorampin/types';
 import type { H3, H3Event } from 'h3';
@@ -27,6 +28,8 @@
   log: EventLog;
   /** Describes this process. */
   status(): unknown;
+  /** Counts good and bad calls of each customer. */
+  burn: BurnRecorder;
 }
 
 /** The HTTP API for operators. */
@@ -43,6 +46,7 @@
   /** Adds the routes. */
   addRoutes(app: H3): void {
     app.get('/admin/v1/status', (event) => this.guard(event, async () => this.options.status()));
+    app.get('/admin/v1/burn', (event) => this.guard(event, async () => this.readBurn()));
     app.get('/admin/v1/contracts/:customer', (event) =>
       this.guard(event, () => this.readContract(event)),
     );
@@ -69,6 +73,11 @@
     throw new CallError({ kind: 'unauthenticated', message });
   }
 
+  private readBurn(): ProcessBurn {
+    const { burn, configuration } = this.options;
+    return { counts: burn.counts(Date.now()), objectives: configuration.objectives() };
+  }
+
   private async readContract(event: H3Event): Promise<unknown> {
     const customer = event.context.params?.customer ?? '';
     const read = await this.writer.readContract(customer);
--- a/packages/entry/src/callerApi.ts
+++ b/packages/entry/src/callerApi.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationView } from '@marjorampin/configuration';
-import type { Metrics } from '@marjorampin/metrics';
+import type { BurnRecorder, Metrics } from '@marjorampin/metrics';
 import {
   CallError,
   type Clock,
@@ -23,6 +23,7 @@
   configuration: ConfigurationView;
   router: CallRouter;
   metrics: Metrics;
+  burn: BurnRecorder;
   clock: Clock;
   /** Returns true while new work is taken. */
   isReady(): boolean;
@@ -66,12 +67,14 @@
   }
 
   private async answer(event: H3Event, method: CallMethod): Promise<Response> {
-    const { clock, metrics } = this.options;
+    const { clock } = this.options;
     const startedMs = clock.now();
     this.runningRequests += 1;
     let isStreaming = false;
+    let customer = '';
     try {
       const contract = this.authenticate(event);
+      customer = contract.customer;
       const { body, isStreamed, deadlineMs } = await parseBody(event, method);
       const call = this.createCall(event, method, contract, body);
       if (isStreamed) {
@@ -79,12 +82,11 @@
         return this.stream(call, deadlineMs, startedMs);
       }
       const answer = await this.options.router.route(call, deadlineMs);
-      this.record(method, 'ok', startedMs);
+      this.record(call, undefined, startedMs);
       return new Response(answer, { headers: { 'content-type': 'application/json' } });
     } catch (thrown) {
       const error = toCallError(thrown);
-      this.record(method, error.kind, startedMs);
-      metrics.count('failed_calls_total', { method, kind: error.kind, execution: error.execution });
+      this.record({ method, customer }, error, startedMs);
       return problemResponse(error);
     } finally {
       if (!isStreaming) this.runningRequests -= 1;
@@ -111,11 +113,11 @@
           // An answer from a running or finished call comes whole; the caller still gets its parts.
           const { text = '' } = JSON.parse(answer) as TurnAnswer;
           if (text.length > sentCharacters) onText(text.slice(sentCharacters));
-          this.record(call.method, 'ok', startedMs);
+          this.record(call, undefined, startedMs);
           send('answer', answer);
         } catch (thrown) {
           const error = toCallError(thrown);
-          this.record(call.method, error.kind, startedMs);
+          this.record(call, error, startedMs);
           send('problem', JSON.stringify(problemOf(error)));
         } finally {
           this.runningRequests -= 1;
@@ -165,10 +167,23 @@
     return choices[Math.floor(Math.random() * choices.length)] ?? 0;
   }
 
-  private record(method: CallMethod, result: string, startedMs: number): void {
-    const { metrics, clock } = this.options;
-    metrics.count('calls_total', { method, result });
+  private record(
+    { method, customer }: Pick<Call, 'method' | 'customer'>,
+    error: CallError | undefined,
+    startedMs: number,
+  ): void {
+    const { metrics, clock, burn } = this.options;
+    metrics.count('calls_total', { method, result: error?.kind ?? 'ok' });
     metrics.observe('call', { method }, clock.now() - startedMs);
+    if (error) {
+      const { kind, execution } = error;
+      metrics.count('failed_calls_total', { method, kind, execution });
+    }
+    // What the caller did wrong is no failure of the service.
+    const isServiceFailure = error !== undefined && error.status >= 500;
+    if (customer !== '') {
+      burn.record(customer, isServiceFailure ? error.kind : '', clock.wallTime());
+    }
   }
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,7 +13,7 @@
   MemberDirectory,
   PartitionTable,
 } from '@marjorampin/membership';
-import type { Metrics } from '@marjorampin/metrics';
+import { BurnRecorder, type Metrics } from '@marjorampin/metrics';
 import type { KeyValueStore } from '@marjorampin/platform';
 import { PeerPool, PeerServer, type TlsFiles } from '@marjorampin/protocol';
 import { type Clock, parseProgramId, type PeerAddress } from '@marjorampin/types';
@@ -215,7 +215,7 @@
     const incarnationOf = (entry: string) => members.get(entry)?.incarnation;
     const handovers = new Handovers({ clock, incarnationOf });
     const registry = new ProgramRegistry({ configuration, history, ledger, handovers, clock, log });
-    const sender = new HandoverSender({ self, registry, peers, log, addressOf });
+    const sender = new HandoverSender({ self, registry, peers, clock, log, addressOf });
     const ownership = new Ownership({
       self,
       table,
@@ -229,7 +229,7 @@
       },
       onHandedOver: (partition) => this.receiver?.apply(partition),
     });
-    const receiver = new HandoverReceiver({ handovers, ownership, history });
+    const receiver = new HandoverReceiver({ handovers, ownership, history, clock });
     this.receiver = receiver;
     const owner = new ProgramOwner({
       configuration,
@@ -243,6 +243,9 @@
       epochOf: (partition) => ownership.epochOf(partition),
       shareOf: (partitions) => ownership.shareOf(partitions),
       settleDeparted: (program, segment) => sender.settle(program, segment),
+      reportDeparted: (program) => {
+        sender.report(program);
+      },
     });
     const neighbours = new PeerNeighbours({ self, members, peers, log });
     const detector = new FailureDetector({ self, neighbours, clock, hash });
@@ -262,10 +265,12 @@
     const { callerAddress, callerTls, clock, metrics, store, log } = this.options;
     const { configuration } = this;
     const app = new H3();
+    const burn = new BurnRecorder();
     this.callerApi = new CallerApi({
       configuration,
       router,
       metrics,
+      burn,
       clock,
       isReady: () => !this.isLeaving,
       ownedAmong: (partitions) =>
@@ -274,7 +279,7 @@
     this.callerApi.addRoutes(app);
     const operatorKeyDigests = this.options.operatorKeyDigests ?? [];
     const status = () => this.describe();
-    const administration = { store, configuration, operatorKeyDigests, log, status };
+    const administration = { store, configuration, operatorKeyDigests, log, status, burn };
     new AdministrationApi(administration).addRoutes(app);
     const listener = toNodeHandler(app);
     const server = callerTls
--- a/packages/entry/src/handoverReceiver.ts
+++ b/packages/entry/src/handoverReceiver.ts
@@ -1,15 +1,20 @@
 import type { Handover, ProgramSettled } from '@marjorampin/protocol';
-import { CallError, parseProgramId, type Segment } from '@marjorampin/types';
+import { CallError, type Clock, parseProgramId, type Segment } from '@marjorampin/types';
 import type { Handovers } from './handovers';
 import type { HistoryKeeper } from './historyKeeper';
 import { type ProgramSnapshot, segmentOf, snapshotOf } from './messages';
 import type { Ownership } from './ownership';
 
+/** A word that the table does not confirm for this long is passed over. */
+const APPLY_WAIT_MS = 3_000;
+const APPLY_POLL_MS = 10;
+
 /** What a receiver of handovers needs. */
 export interface HandoverReceiverOptions {
   handovers: Handovers;
   ownership: Ownership;
   history: HistoryKeeper;
+  clock: Clock;
 }
 
 /** Takes in what former owners say about partitions and calls that they gave up. */
@@ -44,6 +49,7 @@
   /** Keeps the turn of a call that ended at the former owner; returns its holders. */
   async receiveSettled({ program, segment }: ProgramSettled): Promise<string[]> {
     const { handovers } = this.options;
+    await this.untilApplied(program?.program ?? '');
     const known = handovers.running(program?.program ?? '');
     if (!program || !known) {
       const message = 'the program was taken up without its former owner; retry the call';
@@ -60,6 +66,14 @@
     return holders;
   }
 
+  /** The end of a call may be told before the table shows here that its partition moved. */
+  private async untilApplied(program: string): Promise<void> {
+    const { clock } = this.options;
+    const partition = parseProgramId(program)?.partition ?? -1;
+    const giveUpAt = clock.now() + APPLY_WAIT_MS;
+    while (this.early.has(partition) && clock.now() < giveUpAt) await clock.sleep(APPLY_POLL_MS);
+  }
+
   private async keep(
     state: ProgramSnapshot,
     known: ProgramSnapshot,
--- a/packages/entry/src/handoverSender.ts
+++ b/packages/entry/src/handoverSender.ts
@@ -1,18 +1,21 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { PeerPool } from '@marjorampin/protocol';
-import { CallError, type Segment } from '@marjorampin/types';
+import { CallError, type Clock, type Segment } from '@marjorampin/types';
 import { stateOf } from './messages';
 import type { Program } from './program';
 import type { ProgramRegistry } from './programRegistry';
 
 const HANDOVER_TIMEOUT_MS = 2_000;
 const SETTLE_TIMEOUT_MS = 5_000;
+const REPORT_ATTEMPTS = 5;
+const REPORT_PAUSE_MS = 200;
 
 /** What a sender of handovers needs. */
 export interface HandoverSenderOptions {
   self: string;
   registry: ProgramRegistry;
   peers: PeerPool;
+  clock: Clock;
   log: EventLog;
   /** Returns the peer address of an entry. */
   addressOf(entry: string): string | undefined;
@@ -53,6 +56,15 @@
     return reply.body.case === 'heldBy' ? reply.body.value.holders : [];
   }
 
+  /** Tells the new owner that no call runs here any more; repeats it until it is heard. */
+  async report(program: Program): Promise<void> {
+    for (let attempt = 1; attempt <= REPORT_ATTEMPTS; attempt += 1) {
+      if (program.isDepartureReported) return;
+      await this.settle(program).catch(() => undefined);
+      await this.options.clock.sleep(REPORT_PAUSE_MS);
+    }
+  }
+
   private async sendPartition({ partition, owner, epoch }: LostPartition): Promise<void> {
     const { self, registry, peers, addressOf } = this.options;
     const address = addressOf(owner);
--- a/packages/entry/src/ownership.ts
+++ b/packages/entry/src/ownership.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@marjorampin/logging';
 import {
   type Hash,
+  type Member,
   type MemberDirectory,
   type PartitionTable,
   type Reassignment,
@@ -63,6 +64,9 @@
 
   private isReconciling = false;
 
+  /** Members and partitions for which nothing was left to hand over. */
+  private settledFor: { members: Member[]; count: number } | undefined;
+
   constructor(options: OwnershipOptions) {
     this.options = options;
   }
@@ -203,18 +207,24 @@
   /** Gives partitions to the members that come first for them. */
   private async handOver(): Promise<void> {
     const { members, self, clock, hash, table, log } = this.options;
+    if (this.settledFor?.members === members.all() && this.settledFor.count === this.owned.size) {
+      return;
+    }
     const now = clock.now();
     const eligible = members.eligible();
     const isLeaving = !eligible.includes(self);
     const changes: Reassignment[] = [];
+    let isSettled = true;
     [...this.owned.keys()].some((partition) => {
       const owner = rendezvousWinner(eligible, partition, hash) ?? self;
+      isSettled &&= owner === self;
       const knownSince = this.memberSince.get(owner) ?? now;
       const isStable = isLeaving || now - knownSince >= STABLE_AFTER_MS;
       const seenEpoch = table.get(partition).epoch;
       if (owner !== self && isStable) changes.push({ partition, seenEpoch, owner });
       return changes.length >= HANDOVERS_PER_ROUND;
     });
+    if (isSettled) this.settledFor = { members: members.all(), count: this.owned.size };
     if (changes.length === 0) return;
     const done = await table.reassign(changes);
     if (done.ok) log.write('partitionsHandedOver', { count: done.val.length });
--- a/packages/entry/src/programOwner.ts
+++ b/packages/entry/src/programOwner.ts
@@ -60,7 +60,9 @@
   /** Returns the share of a customer's partitions that this process owns, from 0 to 1. */
   shareOf(partitions: number[]): number;
   /** Lets the new owner of a program keep the turn that ran here; returns the holders. */
-  settleDeparted(program: Program, segment?: Segment): Promise<string[]>;
+  settleDeparted(program: Program, segment: Segment): Promise<string[]>;
+  /** Tells the new owner of a program that its call here ended without a turn. */
+  reportDeparted(program: Program): void;
 }
 
 /** What a turn leaves behind. */
@@ -158,7 +160,7 @@
   /** The new owner waits for the end of a departed program's call before it takes it up. */
   private reportDeparted(program: Program): void {
     if (!program.departedTo || program.isDepartureReported) return;
-    this.options.settleDeparted(program).catch(() => undefined);
+    this.options.reportDeparted(program);
   }
 
   private async runTurn(
--- a/packages/membership/src/failureDetector.ts
+++ b/packages/membership/src/failureDetector.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@marjorampin/types';
 import type { Member } from './member';
-import { type Hash, rendezvousOrder } from './rendezvous';
+import { MonitorRing } from './monitorRing';
+import type { Hash } from './rendezvous';
 
 /** Time between two probes of a neighbour. */
 export const PROBE_INTERVAL_MS = 300;
@@ -11,21 +12,21 @@
 /** Failed probes in a row after which a neighbour is suspected. */
 const FAILURES_UNTIL_SUSPICION = 3;
 
-/** Neighbours that watch one member. */
-const MONITOR_COUNT = 3;
-
 /** Different monitors that must suspect a member before it is removed. */
 const SUSPICIONS_UNTIL_REMOVAL = 2;
 
-/** Failed probes of every neighbour after which a member takes itself for the only one left. */
+/** Failed probes of a neighbour after which a member asks whether it is the only one left. */
 const FAILURES_UNTIL_ALONE = 10;
 
+/** Members that are asked whether anybody is left. */
+const MAXIMUM_LONE_PROBES = 16;
+
 /** A suspicion counts for this long. */
 const SUSPICION_LIFETIME_MS = 5_000;
 
 /** The other members, as the detector reaches them. */
 export abstract class Neighbours {
-  /** Returns all members. */
+  /** Returns all members; the same array until they change. */
   abstract members(): Member[];
 
   /** Asks a member whether it is alive; rejects when it is not heard. */
@@ -61,6 +62,9 @@
 
   private readonly hash: Hash;
 
+  /** The ring of the members of this moment, and those that this one watches. */
+  private view: { members: Member[]; ring: MonitorRing; watched: Member[] } | undefined;
+
   private readonly failures = new Map<string, number>();
 
   private readonly suspicions = new Map<string, Suspicion>();
@@ -95,27 +99,16 @@
   }
 
   private round(): void {
-    const members = this.neighbours.members();
-    const isMine = (member: Member) => this.monitorsOf(member, members).includes(this.self);
-    members
-      .filter(({ id }) => id !== this.self)
-      .filter(isMine)
-      .forEach((member) => this.check(member));
+    this.current().watched.forEach((member) => this.check(member));
   }
 
-  /** Returns the ids of a member's monitors: those of other failure domains come first. */
-  private monitorsOf(member: Member, members: Member[]): string[] {
-    const others = members.filter(({ id }) => id !== member.id);
-    const seed = this.hash(member.id, 0);
-    const order = (candidates: Member[]) =>
-      rendezvousOrder(
-        candidates.map(({ id }) => id),
-        seed,
-        this.hash,
-      );
-    const remote = order(others.filter(({ domain }) => domain !== member.domain));
-    const local = order(others.filter(({ domain }) => domain === member.domain));
-    return [...remote, ...local].slice(0, MONITOR_COUNT);
+  /** Builds the ring anew only when the members changed. */
+  private current() {
+    const members = this.neighbours.members();
+    if (this.view?.members === members) return this.view;
+    const ring = new MonitorRing({ members, hash: this.hash });
+    this.view = { members, ring, watched: ring.watchedBy(this.self) };
+    return this.view;
   }
 
   private async check(member: Member): Promise<void> {
@@ -132,10 +125,9 @@
   }
 
   private suspect(member: Member): void {
-    const members = this.neighbours.members();
-    const monitors = this.monitorsOf(member, members).filter((id) => id !== this.self);
-    members
-      .filter(({ id }) => monitors.includes(id))
+    this.current()
+      .ring.monitorsOf(member.id)
+      .filter(({ id }) => id !== this.self)
       .forEach((monitor) => this.neighbours.tell(monitor, member));
     this.record(member, this.self);
   }
@@ -153,25 +145,39 @@
       (at) => now - at < SUSPICION_LIFETIME_MS,
     );
     if (!suspicion.reporters.has(this.self)) return;
-    if (fresh.length < this.neededReporters()) return;
+    if (fresh.length >= this.neededReporters()) this.remove(suspect);
+    else this.removeWhenAlone(suspect);
+  }
+
+  private remove(suspect: Member): void {
     this.suspicions.delete(suspect.id);
     this.failures.delete(`${suspect.id}/${suspect.incarnation}`);
     this.neighbours.remove(suspect);
   }
 
+  /** Two must agree, unless there are only two members. */
+  private neededReporters(): number {
+    const others = this.neighbours.members().filter(({ id }) => id !== this.self);
+    return others.length <= 1 ? 1 : SUSPICIONS_UNTIL_REMOVAL;
+  }
+
   /**
-   * Two must agree, unless nobody else is left. A member that was merely cut off sees its own
-   * record removed by the others well before it takes itself for the only one.
+   * The last member left has nobody to agree with. One that was merely cut off sees its own
+   * record removed by the others well before it comes to ask whether it is alone.
    */
-  private neededReporters(): number {
+  private async removeWhenAlone(suspect: Member): Promise<void> {
+    const key = `${suspect.id}/${suspect.incarnation}`;
+    if ((this.failures.get(key) ?? 0) < FAILURES_UNTIL_ALONE) return;
     const members = this.neighbours.members();
     const others = members.filter(({ id }) => id !== this.self);
-    if (others.length <= 1) return 1;
-    const isRegistered = others.length < members.length;
-    const isSilent = ({ id, incarnation }: Member) =>
-      (this.failures.get(`${id}/${incarnation}`) ?? 0) >= FAILURES_UNTIL_ALONE;
-    const probed = others.filter((member) => this.monitorsOf(member, members).includes(this.self));
-    const isAlone = isRegistered && probed.length > 0 && probed.every(isSilent);
-    return isAlone ? 1 : SUSPICIONS_UNTIL_REMOVAL;
+    if (others.length === members.length) return;
+    const probes = others
+      .slice(0, MAXIMUM_LONE_PROBES)
+      .map((other) => this.neighbours.probe(other));
+    const heard = await Promise.any(probes).then(
+      () => true,
+      () => false,
+    );
+    if (!heard) this.remove(suspect);
   }
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -2,6 +2,7 @@
 export * from './failureDetector';
 export * from './member';
 export * from './memberDirectory';
+export * from './monitorRing';
 export * from './partitionPage';
 export * from './partitionTable';
 export * from './rendezvous';
--- a/packages/membership/src/memberDirectory.ts
+++ b/packages/membership/src/memberDirectory.ts
@@ -20,6 +20,8 @@
 
   private members = new Map<string, Member>();
 
+  private list: Member[] = [];
+
   constructor({ store, clock }: MemberDirectoryOptions) {
     this.store = store;
     this.clock = clock;
@@ -48,9 +50,9 @@
     return this.members.get(id);
   }
 
-  /** Returns all members, leaving ones included. */
+  /** Returns all members, leaving ones included; the same array until they change. */
   all(): Member[] {
-    return [...this.members.values()];
+    return this.list;
   }
 
   /** Returns the ids of the members that may own partitions. */
@@ -89,5 +91,6 @@
   private refresh(): void {
     const members = this.watched.all().map(({ value }) => JSON.parse(value) as Member);
     this.members = new Map(members.map((member) => [member.id, member]));
+    this.list = members;
   }
 }
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,2 +1,4 @@
-/** Counters and latencies of one process, in the usual text format. */
+/** Counters, latencies and service-level burn of one process. */
+export * from './burnRecorder';
+export * from './burnReport';
 export * from './metrics';
--- a/packages/types/src/contract.ts
+++ b/packages/types/src/contract.ts
@@ -25,6 +25,8 @@
   partitions: number;
   /** Idle time after which a program expires. */
   programLifetimeMs: number;
+  /** Share of calls that must be good. */
+  objective: number;
 }
 
 /** How an endpoint's service is reached. */
