--- a/packages/development/src/__tests__/failures.test.ts
+++ b/packages/development/src/__tests__/failures.test.ts
@@ -38,6 +38,11 @@
   ],
 });
 
+const WAITING_CONFIGURATION = {
+  ...CONFIGURATION,
+  contracts: CONFIGURATION.contracts.map((contract) => ({ ...contract, mayWait: ['assistant'] })),
+};
+
 async function startCluster(
   context: TestContext,
   options: Partial<DevelopmentClusterOptions> = {},
@@ -356,6 +361,46 @@
   assert.equal(model.totals.finished, finished);
 });
 
+test('context moves along from an engine whose agent is leaving', async (context) => {
+  const cluster = await startCluster(context, { engine: { decodeStepMs: 10 } });
+  const client = createClient(context, cluster);
+  const program = await ProgramClient.open(client);
+  await program.callModel(ask('x'.repeat(4_000), 4));
+  const warm = cluster.endpoints.find(
+    ({ standin }) => standin instanceof EngineStandin && standin.model.totals.finished > 0,
+  );
+  assert.ok(warm);
+  // A long call keeps the agent draining for long enough.
+  const other = await ProgramClient.open(client);
+  const long = other.callModel(ask('long', 150));
+  const stopping = warm.agent.stop();
+  await sleep(50);
+  const { answer } = await program.callModel(ask('next', 4));
+  assert.ok(answer.usage.cachedTokens >= 900, `${answer.usage.cachedTokens} tokens were cached`);
+  assert.equal(answer.usage.rebuiltTokens, 0);
+  await long;
+  await stopping;
+});
+
+test('work that may wait is refused early under load, and says when to come back', async (context) => {
+  const cluster = await startCluster(context, {
+    endpointCount: 1,
+    engine: { decodeStepMs: 20, batchSize: 2 },
+    configuration: WAITING_CONFIGURATION,
+  });
+  const client = createClient(context, cluster);
+  const programs = await Promise.all(Array.from({ length: 14 }, () => ProgramClient.open(client)));
+  const running = programs.map((program) =>
+    program.callModel(ask('x', 40)).catch((error: unknown) => error),
+  );
+  await sleep(700);
+  const waiting = await ProgramClient.open(client);
+  const problem = await problemOf(waiting.callModel(ask('y')));
+  assert.deepEqual([problem.title, problem.execution], ['overloaded', 'not-run']);
+  assert.ok(problem.retryAfterMs > 0);
+  await Promise.all(running);
+});
+
 test('a history whose holders are gone asks for the transcript and checks it', async (context) => {
   const cluster = await startCluster(context, { entryCount: 2 });
   const program = await ProgramClient.open(createClient(context, cluster));
--- a/packages/entry/src/__tests__/atMostOnce.test.ts
+++ b/packages/entry/src/__tests__/atMostOnce.test.ts
@@ -240,6 +240,7 @@
     program,
     body,
     service: SERVICE,
+    priority: 'standard',
     endpoints,
     ledger,
     clock,
--- a/packages/entry/src/endpointDispatcher.ts
+++ b/packages/entry/src/endpointDispatcher.ts
@@ -3,12 +3,19 @@
 import { ENDPOINT_PREFIX, type KeyValueStore, WatchedPrefix } from '@marjorampin/platform';
 import type { PeerPool, Reply, RequestBody } from '@marjorampin/protocol';
 import {
+  admitCall,
   chooseEndpoint,
   type ChoiceRequest,
   EndpointDirectory,
   type ReportedLoad,
 } from '@marjorampin/routing';
-import { CallError, type Clock, type Endpoint, toCallError } from '@marjorampin/types';
+import {
+  CallError,
+  type Clock,
+  type Endpoint,
+  type Priority,
+  toCallError,
+} from '@marjorampin/types';
 
 /** A service without an available endpoint is waited for this long before a call is refused. */
 const ENDPOINT_WAIT_MS = 1_500;
@@ -33,10 +40,16 @@
   progressTimeoutMs: number;
 }
 
+/** What a call needs of an endpoint. */
+export interface EndpointRequest extends ChoiceRequest {
+  /** Class of the work: under load, lower classes are refused first. */
+  priority: Priority;
+}
+
 /** The endpoints, as calls see them. */
 export abstract class Endpoints {
-  /** Chooses an endpoint of a service; throws `no-endpoint` when there is none. */
-  abstract choose(service: string, request: ChoiceRequest, tried: Set<string>): Promise<Endpoint>;
+  /** Chooses an endpoint of a service; throws `no-endpoint` or `overloaded`. */
+  abstract choose(service: string, request: EndpointRequest, tried: Set<string>): Promise<Endpoint>;
 
   /** Sends a request to an endpoint's agent. */
   abstract send(endpoint: Endpoint, body: RequestBody, options: DispatchOptions): Promise<Reply>;
@@ -76,13 +89,15 @@
   /** Chooses an endpoint; waits a moment for one, then throws `no-endpoint`. */
   override async choose(
     service: string,
-    request: ChoiceRequest,
+    request: EndpointRequest,
     tried: Set<string>,
   ): Promise<Endpoint> {
     const { clock } = this.options;
     const giveUpAt = clock.now() + ENDPOINT_WAIT_MS;
     for (;;) {
       const available = this.directory.available(service);
+      // A call that began is not given up for its class.
+      if (tried.size === 0) admitCall(available, request.priority);
       const fresh = available.filter(({ endpoint }) => !tried.has(endpoint.id));
       const chosen = chooseEndpoint(fresh.length > 0 ? fresh : available, request);
       if (chosen) return chosen.endpoint;
@@ -100,13 +115,20 @@
     const { peers, clock, metrics, log } = this.options;
     const { onText, signal, progressTimeoutMs } = options;
     const startedMs = clock.now();
+    let firstTextMs = 0;
+    const onItem = (text: string) => {
+      if (firstTextMs === 0) firstTextMs = clock.now();
+      onText?.(text);
+    };
     this.directory.started(endpoint.id);
     try {
-      return await peers.get(endpoint.agentAddress).call(body, {
-        progressTimeoutMs,
-        ...(signal ? { signal } : {}),
-        ...(onText ? { onItem: onText } : {}),
-      });
+      const sent = { progressTimeoutMs, onItem, ...(signal ? { signal } : {}) };
+      const reply = await peers.get(endpoint.agentAddress).call(body, sent);
+      if (reply.body.case === 'modelResult' && firstTextMs > 0) {
+        const tokens = Math.max(1, reply.body.value.outputTokens);
+        this.directory.observeSpeed(endpoint.id, (clock.now() - firstTextMs) / tokens);
+      }
+      return reply;
     } catch (thrown) {
       const { kind, message } = toCallError(thrown);
       if (ENDPOINT_FAILURES.includes(kind)) {
--- a/packages/entry/src/modelTurn.ts
+++ b/packages/entry/src/modelTurn.ts
@@ -15,6 +15,10 @@
 const MAXIMUM_ATTEMPTS = 5;
 const FIRST_PAUSE_MS = 30;
 
+/** Context below this size is built faster than it is moved. */
+const SMALLEST_MOVE_TOKENS = 256;
+const MOVE_TIMEOUT_MS = 500;
+
 /** Failures after which another endpoint may be tried: a model call is idempotent. */
 const RETRIED = ['connection-lost', 'endpoint-failed', 'deadline-exceeded', 'leaving', 'internal'];
 
@@ -67,6 +71,7 @@
     try {
       const endpoint = await choose(options, context, tried);
       endpointId = endpoint.id;
+      await moveContext(options, endpoint, countTokens(context));
       const reply = await send(options, endpoint, context, text, collect);
       program.warmEndpoint = endpointId;
       return resultOf(reply, text, collect);
@@ -82,7 +87,7 @@
 }
 
 function choose(
-  { program, body, service, endpoints }: ModelTurnOptions,
+  { program, body, service, priority, endpoints }: ModelTurnOptions,
   context: string,
   tried: Set<string>,
 ): Promise<Endpoint> {
@@ -90,10 +95,26 @@
     warmEndpoint: program.warmEndpoint,
     contextTokens: countTokens(context),
     wastedCachePriceMs: service.wastedCachePriceMs,
+    priority,
   };
   return endpoints.choose(body.service, request, tried);
 }
 
+/** Takes the cached context along to another endpoint; what can't be moved is built anew. */
+async function moveContext(
+  { program, endpoints }: ModelTurnOptions,
+  target: Endpoint,
+  contextTokens: number,
+): Promise<void> {
+  const source = endpoints.get(program.warmEndpoint);
+  const isWorthwhile = contextTokens >= SMALLEST_MOVE_TOKENS;
+  if (!source || source.id === target.id || !isWorthwhile) return;
+  const fence = { partition: program.partition, epoch: program.epoch };
+  const value = { fence, program: program.id, targetAddress: target.agentAddress };
+  const options = { progressTimeoutMs: MOVE_TIMEOUT_MS };
+  await endpoints.send(source, { case: 'moveContext', value }, options).catch(() => undefined);
+}
+
 /** A call that an endpoint may have started is not reported as "not run". */
 function startedError(thrown: unknown): CallError {
   const { kind, message, retryAfterMs } = toCallError(thrown);
--- a/packages/entry/src/programOwner.ts
+++ b/packages/entry/src/programOwner.ts
@@ -15,6 +15,7 @@
   createProgramId,
   customerPartitions,
   digestOf,
+  type Priority,
   type Segment,
   type Service,
   toCallError,
@@ -225,12 +226,11 @@
     await this.reserve(program, worst);
     let spent = worst;
     try {
-      const mayWait = contract.mayWait.includes(service.name);
       const result = await runModelTurn({
         program,
         body,
         service,
-        priority: mayWait ? 'background' : contract.priority,
+        priority: priorityOf(contract, service),
         identity: `${program.id}/${identity.slice(0, 16)}`,
         endpoints: dispatcher,
         emittedText: call.emittedText,
@@ -268,6 +268,7 @@
         program,
         body,
         service,
+        priority: priorityOf(contract, service),
         endpoints: dispatcher,
         ledger,
         clock,
@@ -426,6 +427,11 @@
   }
 }
 
+/** Work that may wait yields to all other work. */
+function priorityOf({ mayWait, priority }: Contract, service: Service): Priority {
+  return mayWait.includes(service.name) ? 'background' : priority;
+}
+
 function contentOf(segment: Segment | undefined): Partial<TurnAnswer> {
   switch (segment?.kind) {
     case 'model':
--- a/packages/entry/src/serviceTurn.ts
+++ b/packages/entry/src/serviceTurn.ts
@@ -5,6 +5,7 @@
   type Clock,
   digestOf,
   type Endpoint,
+  type Priority,
   type Service,
   toCallError,
 } from '@marjorampin/types';
@@ -28,6 +29,7 @@
   program: Program;
   body: ServiceCallBody;
   service: Service;
+  priority: Priority;
   endpoints: Endpoints;
   ledger: Ledger;
   clock: Clock;
@@ -249,7 +251,8 @@
 
   private chooseEndpoint(tried: Set<string>): Promise<Endpoint> {
     const { endpoints, body } = this.options;
-    const request = { warmEndpoint: '', contextTokens: 0, wastedCachePriceMs: 0 };
+    const { priority } = this.options;
+    const request = { warmEndpoint: '', contextTokens: 0, wastedCachePriceMs: 0, priority };
     return endpoints.choose(body.service, request, tried);
   }
 
