A former owner does not judge a newer continuation; holders check the turn before

Reading on found that a holder that was restarted, or that held a fork, could be given a turn without the ones before it and counted as a copy. Ruled out: forks read back by the new owner (chains are checked against the digest).

--- a/packages/entry/src/historyKeeper.ts
+++ b/packages/entry/src/historyKeeper.ts
@@ -40,6 +40,9 @@
 
   private readonly fence = new EpochFence();
 
+  /** Digest of the newest turn that is held here, by program. */
+  private readonly tails = new Map<string, string>();
+
   constructor(options: HistoryKeeperOptions) {
     this.options = options;
   }
@@ -47,7 +50,16 @@
   /** Keeps a segment here, unless a newer owner of its partition was seen. */
   async storeLocally(token: FenceToken, segment: Segment): Promise<void> {
     this.fence.admit(token);
+    if (!(await this.hasTurnBefore(segment))) throw turnsMissing(segment);
     await this.options.local.store(segment);
+    this.tails.set(segment.program, segment.digest);
+  }
+
+  /** A restarted or former holder may lack turns, or have others than the owner. */
+  private async hasTurnBefore({ program, turn, previousDigest }: Segment): Promise<boolean> {
+    if (turn === 1 || this.tails.get(program) === previousDigest) return true;
+    const held = await this.options.local.read(program);
+    return held[turn - 2]?.turn === turn - 1 && held[turn - 2]?.digest === previousDigest;
   }
 
   /** Returns a program's segments that are held here. */
@@ -58,6 +70,7 @@
 
   /** Drops a program's segments that are held here. */
   async dropLocally(program: string): Promise<void> {
+    this.tails.delete(program);
     await this.options.local.drop(program);
   }
 
@@ -114,11 +127,11 @@
     const ids = [...new Set([self, ...previous, ...order])];
     const known = ids.flatMap((id) => members.get(id) ?? []).filter(({ leaving }) => !leaving);
     const own = members.get(self);
-    // Another domain's entries come first after the own one, so that few are passed over.
+    // A remote holder comes first: it may know a newer owner, and then nothing is held here.
     const remote = known.filter(({ domain }) => domain !== own?.domain);
     const local = known.filter(({ domain, id }) => domain === own?.domain && id !== self);
-    const first = own && !own.leaving ? [own] : [];
-    return [...first, ...remote, ...local];
+    const selves = own && !own.leaving ? [own] : [];
+    return [...remote.slice(0, 1), ...selves, ...remote.slice(1), ...local];
   }
 
   private async storeAt(
@@ -129,7 +142,10 @@
   ): Promise<boolean> {
     const missing = previous.includes(holder.id) ? segments.slice(-1) : segments;
     try {
-      await this.sendSegments(holder, token, missing);
+      await this.sendSegments(holder, token, missing).catch(async (error) => {
+        if (toCallError(error).kind !== 'transcript-required') throw error;
+        await this.sendSegments(holder, token, segments);
+      });
       return true;
     } catch (error) {
       if (toCallError(error).kind === 'stale-epoch') throw error;
@@ -203,3 +219,8 @@
     retryAfterMs: 500,
   });
 }
+
+function turnsMissing({ program, turn }: Segment): CallError {
+  const message = `the turns of ${program} before ${turn} are not held here; send all of them`;
+  return new CallError({ kind: 'transcript-required', message });
+}
--- a/packages/entry/src/programOwner.ts
+++ b/packages/entry/src/programOwner.ts
@@ -1,11 +1,5 @@
 import type { ConfigurationView } from '@marjorampin/configuration';
-import {
-  type Continuation,
-  createSegment,
-  isWholeChain,
-  openContinuation,
-  sealContinuation,
-} from '@marjorampin/history';
+import { createSegment } from '@marjorampin/history';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import {
@@ -15,9 +9,7 @@
   createProgramId,
   customerPartitions,
   digestOf,
-  type Priority,
   type Segment,
-  type Service,
   toCallError,
   type TurnKind,
 } from '@marjorampin/types';
@@ -29,9 +21,10 @@
   type OpenCall,
   type ServiceCallBody,
   type SpawnCall,
-  type TurnAnswer,
-  type Usage,
 } from './calls';
+import { Answers, NO_USAGE, type TurnUsage } from './answers';
+import { ContextReleaser } from './contextReleaser';
+import { contractOf, priorityOf, serviceOf } from './contractTerms';
 import { CustomerLimits } from './customerLimits';
 import type { EndpointDispatcher } from './endpointDispatcher';
 import type { HistoryKeeper } from './historyKeeper';
@@ -40,11 +33,7 @@
 import type { Program } from './program';
 import type { ProgramRegistry } from './programRegistry';
 import { serviceCallKey, ServiceTurn } from './serviceTurn';
-
-/** A release without an answer for this long is left to the agent's sweep. */
-const RELEASE_TIMEOUT_MS = 2_000;
-
-const NO_USAGE = { inputTokens: 0, outputTokens: 0, cachedTokens: 0, rebuiltTokens: 0 };
+import { checkChain, checkEpoch, checkExpiry, checkTranscript, findStored } from './turnChecks';
 
 /** What an owner needs. */
 export interface ProgramOwnerOptions {
@@ -71,7 +60,7 @@
   kind: TurnKind;
   request: string;
   answer: string;
-  usage: Omit<Usage, 'spentTokens' | 'grantedTokens'>;
+  usage: TurnUsage;
 }
 
 interface TurnBody {
@@ -85,15 +74,21 @@
 
   private readonly limits: CustomerLimits;
 
+  private readonly answers: Answers;
+
+  private readonly releaser: ContextReleaser;
+
   constructor(options: ProgramOwnerOptions) {
     this.options = options;
     this.limits = new CustomerLimits({ clock: options.clock });
+    this.answers = new Answers(options);
+    this.releaser = new ContextReleaser({ endpoints: options.dispatcher });
   }
 
   /** Carries out a call and returns its answer as JSON. */
   async execute(call: Call): Promise<string> {
     const epoch = await this.options.epochOf(call.partition);
-    const contract = this.contractOf(call.customer);
+    const contract = contractOf(this.options.configuration, call.customer);
     this.limits.admit(contract, this.shareOf(contract));
     const body: unknown = JSON.parse(call.body);
     switch (call.method) {
@@ -123,11 +118,12 @@
       expiresMs: clock.wallTime() + programLifetimeMs,
     });
     this.options.metrics.count('programs_opened_total', { customer });
-    return JSON.stringify(this.answer(program, 0, NO_USAGE));
+    return JSON.stringify(this.answers.answer(program, 0, NO_USAGE));
   }
 
   private async readHistory(call: Call, body: HistoryCall, epoch: number): Promise<string> {
-    const continuation = this.openSealed(body.continuation, call);
+    const continuation = this.answers.open(body.continuation, call);
+    checkEpoch(continuation, epoch);
     const program = await this.options.registry.acquire(continuation, epoch);
     checkChain(program, continuation);
     return JSON.stringify({ program: program.id, turns: program.segments });
@@ -140,8 +136,9 @@
     epoch: number,
   ): Promise<string> {
     const { registry } = this.options;
-    const continuation = this.openSealed(body.continuation, call);
-    this.checkExpiry(continuation);
+    const continuation = this.answers.open(body.continuation, call);
+    checkEpoch(continuation, epoch);
+    checkExpiry(continuation, this.options.clock.wallTime());
     const transcript = checkTranscript(body.transcript, continuation);
     const program = await registry.acquire(continuation, epoch, transcript);
     const { continuation: sealed, transcript: turns, ...request } = body;
@@ -149,7 +146,7 @@
     return program.enqueue(identity, async () => {
       try {
         const stored = findStored(program, continuation, identity);
-        if (stored) return JSON.stringify(this.repeat(program, stored));
+        if (stored) return JSON.stringify(this.answers.repeat(program, stored));
         await this.checkStillOwned(program);
         return await this.runTurn(call, body, contract, program, identity);
       } finally {
@@ -174,7 +171,7 @@
     const outcome = await this.dispatchTurn(call, body, contract, program, identity);
     await this.keep(program, outcome, identity);
     if (outcome.kind === 'end') await this.finish(program);
-    return JSON.stringify(this.answer(program, program.turn, outcome.usage));
+    return JSON.stringify(this.answers.answer(program, program.turn, outcome.usage));
   }
 
   private async checkStillOwned(program: Program): Promise<void> {
@@ -208,7 +205,7 @@
     try {
       await program.budget.reserve(tokens);
     } catch (error) {
-      if (toCallError(error).kind === 'budget-exhausted') this.releaseContext(program);
+      if (toCallError(error).kind === 'budget-exhausted') this.releaser.releaseAll(program);
       throw error;
     }
   }
@@ -221,7 +218,7 @@
     identity: string,
   ): Promise<TurnOutcome> {
     const { dispatcher, clock } = this.options;
-    const service = this.serviceOf(contract, body.service, 'model');
+    const service = serviceOf(this.options.configuration, contract, body.service, 'model');
     const worst = worstCaseTokens(body);
     await this.reserve(program, worst);
     let spent = worst;
@@ -235,7 +232,7 @@
         endpoints: dispatcher,
         emittedText: call.emittedText,
         onText: call.onText,
-        release: (endpoint) => this.releaseAt(program, endpoint),
+        release: (endpoint) => this.releaser.releaseAt(program, endpoint),
         pause: (ms) => clock.sleep(ms),
       });
       spent = worst - body.maximumTokens + result.outputTokens;
@@ -256,7 +253,7 @@
     program: Program,
   ): Promise<TurnOutcome> {
     const { dispatcher, ledger, clock, log } = this.options;
-    const service = this.serviceOf(contract, body.service, 'plain');
+    const service = serviceOf(this.options.configuration, contract, body.service, 'plain');
     const key = serviceCallKey(program.customer, body);
     const isUnresolved = program.unresolvedCalls.has(key);
     const mayHaveRunBefore = isUnresolved || program.recoveredAtTurn === program.turn;
@@ -304,14 +301,14 @@
       epoch,
       expiresMs,
     });
-    const answer = JSON.stringify({ program: child.id, continuation: this.seal(child, 0) });
+    const answer = JSON.stringify({ program: child.id, continuation: this.answers.seal(child, 0) });
     return { kind: 'spawn', request: String(budgetTokens), answer, usage: NO_USAGE };
   }
 
   /** Frees the engines' memory and gives an unused part of the budget back to the parent. */
   private async finish(program: Program): Promise<void> {
     const { registry } = this.options;
-    this.releaseContext(program);
+    this.releaser.releaseAll(program);
     const parent = registry.get(program.parent);
     if (!parent || parent.epoch !== program.epoch) return;
     const unused = program.budget.granted - program.budget.spent;
@@ -320,24 +317,6 @@
     parent.budget.refund(unused);
   }
 
-  /** Asks every endpoint that the program visited to free its memory. */
-  private releaseContext(program: Program): void {
-    program.takeVisited().forEach((endpoint) => this.releaseAt(program, endpoint));
-  }
-
-  private async releaseAt(program: Program, endpointId: string): Promise<void> {
-    const { dispatcher } = this.options;
-    const endpoint = dispatcher.get(endpointId);
-    if (!endpoint) return;
-    const fence = { partition: program.partition, epoch: program.epoch };
-    const value = { fence, program: program.id };
-    const options = { progressTimeoutMs: RELEASE_TIMEOUT_MS };
-    // What a lost request leaves behind, the agent's sweep of idle programs finds.
-    await dispatcher
-      .send(endpoint, { case: 'releaseContext', value }, options)
-      .catch(() => undefined);
-  }
-
   /** Chains the turn to the history and holds it at two entries. */
   private async keep(program: Program, outcome: TurnOutcome, identity: string): Promise<void> {
     const segment = createSegment({
@@ -367,122 +346,11 @@
     }
   }
 
-  private checkExpiry({ expiresMs }: Continuation): void {
-    if (this.options.clock.wallTime() <= expiresMs) return;
-    const message = 'the program expired under its contract; open a new one';
-    throw new CallError({ kind: 'program-expired', message });
-  }
-
-  private answer(program: Program, turn: number, usage: TurnOutcome['usage']): TurnAnswer {
-    const { granted } = program.budget;
-    const segment = program.segments[turn - 1];
-    const spentTokens = segment?.spent ?? program.budget.spent;
-    return {
-      program: program.id,
-      turn,
-      continuation: this.seal(program, turn),
-      usage: { ...usage, spentTokens, grantedTokens: granted },
-      ...contentOf(segment),
-    };
-  }
-
-  private repeat(program: Program, segment: Segment): TurnAnswer {
-    this.options.metrics.count('repeated_answers_total', { customer: program.customer });
-    return this.answer(program, segment.turn, NO_USAGE);
-  }
-
-  private seal(program: Program, turn: number): string {
-    return sealContinuation(program.continuationAt(turn), this.options.configuration.sealingKeys);
-  }
-
-  private openSealed(sealed: string, { customer, program }: Call): Continuation {
-    const { sealingKeys } = this.options.configuration;
-    const opened = openContinuation(sealed, sealingKeys, customer);
-    if (opened.err) throw opened.val;
-    if (opened.val.program === program) return opened.val;
-    const message = 'the continuation belongs to another program; use the one of its last answer';
-    throw new CallError({ kind: 'invalid-continuation', message });
-  }
-
-  private contractOf(customer: string): Contract {
-    const contract = this.options.configuration.contract(customer);
-    if (contract) return contract;
-    const message = `there is no contract for "${customer}"; ask the operators for one`;
-    throw new CallError({ kind: 'unknown-contract', message });
-  }
-
-  private serviceOf(contract: Contract, name: string, kind: Service['kind']): Service {
-    const service = this.options.configuration.service(name);
-    if (!service || service.kind !== kind) {
-      const message = `there is no ${kind} service "${name}"; use one of: ${contract.services.join(', ')}`;
-      throw new CallError({ kind: 'unknown-service', message });
-    }
-    if (contract.services.includes(name)) return service;
-    const message = `the contract of "${contract.customer}" does not include "${name}"; use one of: ${contract.services.join(', ')}`;
-    throw new CallError({ kind: 'forbidden', message });
-  }
-
   private shareOf({ customer, partitions }: Contract): number {
     return this.options.shareOf(customerPartitions(customer, partitions));
   }
 }
 
-/** Work that may wait yields to all other work. */
-function priorityOf({ mayWait, priority }: Contract, service: Service): Priority {
-  return mayWait.includes(service.name) ? 'background' : priority;
-}
-
-function contentOf(segment: Segment | undefined): Partial<TurnAnswer> {
-  switch (segment?.kind) {
-    case 'model':
-      return { text: segment.answer };
-    case 'service':
-      return JSON.parse(segment.answer) as Partial<TurnAnswer>;
-    case 'spawn':
-      return { child: JSON.parse(segment.answer) as NonNullable<TurnAnswer['child']> };
-    default:
-      return {};
-  }
-}
-
 function end(_body: EndCall): TurnOutcome {
   return { kind: 'end', request: '', answer: '', usage: NO_USAGE };
 }
-
-function checkChain(program: Program, { turn, digest }: Continuation): void {
-  const known = program.segments[turn - 1]?.digest ?? '';
-  if (program.turn >= turn && known === digest) return;
-  const message = `the continuation's turn ${turn} is not part of the program's history; use the last answer's continuation`;
-  throw new CallError({ kind: 'out-of-turn', message });
-}
-
-function checkTranscript(
-  transcript: Segment[] | undefined,
-  { program, turn, digest }: Continuation,
-): Segment[] | undefined {
-  if (!transcript) return undefined;
-  const isOwn = transcript.every((segment) => segment.program === program);
-  const endsRight = transcript.length === turn && (transcript.at(-1)?.digest ?? '') === digest;
-  if (isOwn && endsRight && isWholeChain(transcript)) return transcript;
-  const message =
-    'the transcript is not the history that the continuation ends; send the turns as the history call returned them';
-  throw new CallError({ kind: 'invalid-request', message });
-}
-
-/** Returns the stored turn of a repeated request; throws when the call is out of turn. */
-function findStored(
-  program: Program,
-  continuation: Continuation,
-  identity: string,
-): Segment | undefined {
-  checkChain(program, continuation);
-  const next = program.segments[continuation.turn];
-  if (next?.requestDigest === identity) return next;
-  if (program.isEnded) {
-    const message = 'the program has ended; open a new one';
-    throw new CallError({ kind: 'program-ended', message });
-  }
-  if (!next) return undefined;
-  const message = `the program is at turn ${program.turn}, the call follows turn ${continuation.turn}; use the last answer's continuation`;
-  throw new CallError({ kind: 'out-of-turn', message });
-}
