--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -97,6 +97,8 @@
 
   private receiver: HandoverReceiver | undefined;
 
+  private peerAddresses = new Set<string>();
+
   private isLeaving = false;
 
   private isStopped = false;
@@ -134,7 +136,10 @@
     await this.register();
     const router = await this.assemble();
     const callers = await this.listenForCallers(router);
-    this.members.onChange(() => this.reregisterWhenRemoved());
+    this.members.onChange(() => {
+      this.dropRemovedPeers();
+      this.reregisterWhenRemoved();
+    });
     log.write('processStarted', { role: 'entry', id });
     return { callers, peers };
   }
@@ -193,6 +198,14 @@
     if (written.err) log.write('storeUnavailable', { reason: written.val.message });
   }
 
+  /** Calls to a removed entry look for the new owner at once, not after the stream fell silent. */
+  private dropRemovedPeers(): void {
+    const present = new Set(this.members.all().map(({ address }) => address));
+    const removed = [...this.peerAddresses].filter((address) => !present.has(address));
+    removed.forEach((address) => this.peers.drop(address));
+    this.peerAddresses = present;
+  }
+
   /** The others took this entry for dead, for instance after a pause. */
   private reregisterWhenRemoved(): void {
     const { id, log } = this.options;
--- a/packages/protocol/src/peerPool.ts
+++ b/packages/protocol/src/peerPool.ts
@@ -32,18 +32,15 @@
     return client;
   }
 
-  /** Closes connections to addresses outside the set. */
-  retain(addresses: Set<string>): void {
-    [...this.clients].forEach(([address, client]) => {
-      if (addresses.has(address)) return;
-      client.close();
-      this.clients.delete(address);
-    });
+  /** Closes the connection to an address; its calls fail at once. */
+  drop(address: string): void {
+    this.clients.get(address)?.close();
+    this.clients.delete(address);
   }
 
   /** Closes all connections, for good. */
   close(): void {
     this.isClosed = true;
-    this.retain(new Set());
+    [...this.clients.keys()].forEach((address) => this.drop(address));
   }
 }
