--- a/packages/entry/src/entryHandler.ts
+++ b/packages/entry/src/entryHandler.ts
@@ -51,9 +51,6 @@
         const segments = await history.readLocally(fenceOf(body.value.fence), body.value.program);
         return { body: { case: 'segments', value: { segments } } };
       }
-      case 'dropSegments':
-        await history.dropLocally(body.value.program);
-        return ACCEPTED;
       case 'appendRecords':
         return this.append(body.value);
       case 'readRecord':
--- a/packages/entry/src/historyKeeper.ts
+++ b/packages/entry/src/historyKeeper.ts
@@ -68,12 +68,6 @@
     return this.options.local.read(program);
   }
 
-  /** Drops a program's segments that are held here. */
-  async dropLocally(program: string): Promise<void> {
-    this.tails.delete(program);
-    await this.options.local.drop(program);
-  }
-
   /**
    * Stores a turn at two entries of different failure domains and returns their ids. A new
    * holder gets all turns. Throws when an entry knows a newer owner.
--- /dev/null
+++ b/packages/history/src/__tests__/history.test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import { appendFileSync, mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'node:test';
+import type { Segment } from '@marjorampin/types';
+import fc from 'fast-check';
+import { type Continuation, openContinuation, sealContinuation } from '../continuation';
+import { DiskHistoryStore } from '../diskHistoryStore';
+import { createSegment, isWholeChain } from '../segmentChain';
+
+const SEED = 20261204;
+const KEYS = [1, 2].map((number) => ({
+  number,
+  secret: Buffer.alloc(32, number).toString('base64'),
+}));
+
+const CONTINUATION: Continuation = {
+  program: 'customer.0007.0123456789abcdef01234567',
+  customer: 'customer',
+  parent: '',
+  turn: 3,
+  digest: 'd',
+  granted: 100,
+  spent: 10,
+  epoch: 2,
+  holders: ['entry-0'],
+  endpoints: [],
+  expiresMs: 1,
+};
+
+function createChain(answers: string[]): Segment[] {
+  const chain: Segment[] = [];
+  answers.forEach((answer, index) => {
+    chain.push(
+      createSegment({
+        program: 'p',
+        turn: index + 1,
+        kind: 'model',
+        request: `r${index}`,
+        requestDigest: '',
+        answer,
+        previousDigest: chain.at(-1)?.digest ?? '',
+        spent: index,
+      }),
+    );
+  });
+  return chain;
+}
+
+test('a chain with any turn changed, left out or moved is not whole', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.string(), { minLength: 2, maxLength: 6 }),
+      fc.nat(),
+      fc.constantFrom('change', 'leave out', 'swap'),
+      (answers, place, harm) => {
+        const chain = createChain(answers);
+        assert.ok(isWholeChain(chain));
+        const index = place % (chain.length - 1);
+        const harmed = [...chain];
+        const [one, next] = [chain[index] as Segment, chain[index + 1] as Segment];
+        if (harm === 'change') harmed[index] = { ...one, answer: `${one.answer}!` };
+        if (harm === 'leave out') harmed.splice(index, 1);
+        if (harm === 'swap') harmed.splice(index, 2, next, one);
+        assert.ok(!isWholeChain(harmed));
+      },
+    ),
+    { seed: SEED, numRuns: 500 },
+  );
+});
+
+test('a sealed continuation opens for its customer only, and not when any character changed', () => {
+  const sealed = sealContinuation(CONTINUATION, KEYS);
+  assert.deepEqual(openContinuation(sealed, KEYS, 'customer').unwrap(), CONTINUATION);
+  const foreign = openContinuation(sealed, KEYS, 'other');
+  assert.equal(foreign.err && foreign.val.kind, 'forbidden');
+  fc.assert(
+    fc.property(fc.nat({ max: sealed.length - 2 }), (index) => {
+      const changed = sealed[index] === 'A' ? 'B' : 'A';
+      const altered = `${sealed.slice(0, index)}${changed}${sealed.slice(index + 1)}`;
+      assert.ok(openContinuation(altered, KEYS, 'customer').err);
+    }),
+    { seed: SEED, numRuns: 300 },
+  );
+});
+
+test('a continuation sealed with an older key opens while the key is in force', () => {
+  const sealed = sealContinuation(CONTINUATION, KEYS.slice(0, 1));
+  assert.ok(openContinuation(sealed, KEYS, 'customer').ok);
+  assert.ok(openContinuation(sealed, KEYS.slice(1), 'customer').err);
+});
+
+test('turns on disk survive a restart and a line that a crash cut short', async (context) => {
+  const folder = mkdtempSync(join(tmpdir(), 'marjorampin-history-'));
+  context.after(() => rmSync(folder, { recursive: true }));
+  const [first, second, third] = createChain(['a', 'b', 'c']) as [Segment, Segment, Segment];
+  const before = new DiskHistoryStore({ folder });
+  await before.store(first);
+  await before.store(second);
+  appendFileSync(join(folder, 'history', 'p.ndjson'), '\n{"program":"p","tu');
+  const after = new DiskHistoryStore({ folder });
+  assert.deepEqual(await after.read('p'), [first, second]);
+  await after.store(third);
+  assert.deepEqual(await after.read('p'), [first, second, third]);
+  assert.deepEqual(await after.programs(), ['p']);
+});
--- a/packages/history/src/diskHistoryStore.ts
+++ b/packages/history/src/diskHistoryStore.ts
@@ -1,4 +1,4 @@
-import { appendFile, mkdir, readdir, readFile, rm } from 'node:fs/promises';
+import { appendFile, mkdir, readdir, readFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import type { Segment } from '@marjorampin/types';
 import { HistoryStore } from './historyStore';
@@ -36,11 +36,6 @@
     return segments.filter((segment) => segment !== undefined);
   }
 
-  override async drop(program: string): Promise<void> {
-    this.writes.delete(program);
-    await rm(this.pathOf(program), { force: true });
-  }
-
   override async programs(): Promise<string[]> {
     const names = await readdir(this.folder).catch(() => [] as string[]);
     return names.map((name) => name.slice(0, -SUFFIX.length));
--- a/packages/history/src/historyStore.ts
+++ b/packages/history/src/historyStore.ts
@@ -8,9 +8,6 @@
   /** Returns a program's segments in the order of their turns. */
   abstract read(program: string): Promise<Segment[]>;
 
-  /** Drops a program. */
-  abstract drop(program: string): Promise<void>;
-
   /** Returns the programs that are held. */
   abstract programs(): Promise<string[]>;
 }
@@ -29,10 +26,6 @@
     return (this.segments.get(program) ?? []).filter((segment) => segment !== undefined);
   }
 
-  override async drop(program: string): Promise<void> {
-    this.segments.delete(program);
-  }
-
   override async programs(): Promise<string[]> {
     return [...this.segments.keys()];
   }
