A planned stop gives away programs under way in parallel, and never over newer turns

Change: 64 programs at a time, ended ones left out; a copy never replaces a turn that the receiver holds.

--- a/packages/entry/src/__tests__/historyKeeper.test.ts
+++ b/packages/entry/src/__tests__/historyKeeper.test.ts
@@ -48,7 +48,16 @@
 const own = createChain(3, 'own');
 const fork = createChain(3, 'fork');
 
-const CASES: { name: string; held: Segment[]; next: Segment; epoch: number; kind?: string }[] = [
+interface Case {
+  name: string;
+  held: Segment[];
+  next: Segment;
+  epoch: number;
+  isCopy?: boolean;
+  kind?: string;
+}
+
+const CASES: Case[] = [
   { name: 'the first turn', held: [], next: own[0] as Segment, epoch: 1 },
   { name: 'the next turn', held: own.slice(0, 2), next: own[2] as Segment, epoch: 1 },
   {
@@ -65,6 +74,21 @@
     epoch: 1,
     kind: 'transcript-required',
   },
+  {
+    name: 'a copy of a turn that it holds',
+    held: own,
+    next: own[1] as Segment,
+    epoch: 1,
+    isCopy: true,
+  },
+  {
+    name: 'a copy of another turn than it holds',
+    held: own,
+    next: fork[0] as Segment,
+    epoch: 1,
+    isCopy: true,
+    kind: 'out-of-turn',
+  },
   {
     name: 'a turn of a former owner',
     held: own.slice(0, 2),
@@ -74,11 +98,13 @@
   },
 ];
 
-CASES.forEach(({ name, held, next, epoch, kind }) => {
+CASES.forEach(({ name, held, next, epoch, isCopy, kind }) => {
   test(`a holder is given ${name}`, async () => {
     const keeper = await createKeeper();
     for (const segment of held) await keeper.storeLocally({ partition: 7, epoch: 1 }, segment);
-    const stored = await keeper.storeLocally({ partition: 7, epoch }, next).catch(toCallError);
+    const stored = await keeper
+      .storeLocally({ partition: 7, epoch }, next, isCopy)
+      .catch(toCallError);
     assert.equal(stored?.kind, kind);
   });
 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -159,10 +159,10 @@
     while ((this.callerApi?.running ?? 0) > 0 || this.hasDepartedCalls()) {
       await clock.sleep(DRAIN_POLL_MS);
     }
-    await this.history?.evacuate(
-      (partition) => this.table.get(partition).epoch,
-      (program) => parseProgramId(program)?.partition ?? 0,
-    );
+    await this.history?.evacuate((program) => {
+      const partition = parseProgramId(program)?.partition ?? 0;
+      return { partition, epoch: this.table.get(partition).epoch };
+    });
     await this.members.remove(id, this.incarnation);
     await this.kill();
     log.write('processStopped', { role: 'entry', id });
--- a/packages/entry/src/entryHandler.ts
+++ b/packages/entry/src/entryHandler.ts
@@ -45,7 +45,11 @@
       case 'forwardedCall':
         return this.executeForwarded(body.value, call);
       case 'storeSegment':
-        await history.storeLocally(fenceOf(body.value.fence), segmentIn(body.value));
+        await history.storeLocally(
+          fenceOf(body.value.fence),
+          segmentIn(body.value),
+          body.value.isCopy,
+        );
         return ACCEPTED;
       case 'readSegments': {
         const segments = await history.readLocally(fenceOf(body.value.fence), body.value.program);
--- a/packages/entry/src/historyKeeper.ts
+++ b/packages/entry/src/historyKeeper.ts
@@ -24,6 +24,9 @@
 
 const HOLDER_TIMEOUT_MS = 1_500;
 
+/** Programs that are given away at the same time before a planned stop. */
+const EVACUATION_WORKERS = 64;
+
 /** What the keeper needs. */
 export interface HistoryKeeperOptions {
   self: string;
@@ -48,13 +51,19 @@
   }
 
   /** Keeps a segment here, unless a newer owner of its partition was seen. */
-  async storeLocally(token: FenceToken, segment: Segment): Promise<void> {
+  async storeLocally(token: FenceToken, segment: Segment, isCopy = false): Promise<void> {
     this.fence.admit(token);
+    if (isCopy && (await this.holdsOther(segment))) throw turnHeld(segment);
     if (!(await this.hasTurnBefore(segment))) throw turnsMissing(segment);
     await this.options.local.store(segment);
     this.tails.set(segment.program, segment.digest);
   }
 
+  private async holdsOther({ program, turn, digest }: Segment): Promise<boolean> {
+    const held = (await this.options.local.read(program))[turn - 1];
+    return held !== undefined && held.digest !== digest;
+  }
+
   /** A restarted or former holder may lack turns, or have others than the owner. */
   private async hasTurnBefore({ program, turn, previousDigest }: Segment): Promise<boolean> {
     if (turn === 1 || this.tails.get(program) === previousDigest) return true;
@@ -100,18 +109,27 @@
     return longest(found, continuation);
   }
 
-  /** Gives every program that is held here to two other entries, before a planned stop. */
-  async evacuate(epochOf: (partition: number) => number, partitionOf: (program: string) => number) {
-    const { local } = this.options;
-    for (const program of await local.programs()) {
-      const partition = partitionOf(program);
-      const segments = await local.read(program);
-      const token = { partition, epoch: epochOf(partition) };
-      const others = this.candidates(partition, []).filter(({ id }) => id !== this.options.self);
-      for (const candidate of others.slice(0, COPIES)) {
-        await this.storeAt(candidate, token, segments, []).catch(() => undefined);
+  /** Gives every program under way that is held here to other entries, before a planned stop. */
+  async evacuate(tokenOf: (program: string) => FenceToken): Promise<void> {
+    const programs = await this.options.local.programs();
+    const workers = Array.from({ length: EVACUATION_WORKERS }, async () => {
+      for (let program = programs.pop(); program; program = programs.pop()) {
+        await this.evacuateProgram(program, tokenOf(program));
       }
-    }
+    });
+    await Promise.all(workers);
+  }
+
+  private async evacuateProgram(program: string, token: FenceToken): Promise<void> {
+    const segments = await this.options.local.read(program);
+    // A program that ended takes no further turn; its other copy is left where it is.
+    if (segments.at(-1)?.kind === 'end') return;
+    const others = this.candidates(token.partition, []).filter(
+      ({ id }) => id !== this.options.self,
+    );
+    await Promise.allSettled(
+      others.slice(0, COPIES).map((other) => this.sendSegments(other, token, segments, true)),
+    );
   }
 
   /** Returns entries in the order of preference: self, former holders, then rendezvous order. */
@@ -147,13 +165,18 @@
     }
   }
 
-  private async sendSegments(holder: Member, token: FenceToken, segments: Segment[]) {
+  private async sendSegments(
+    holder: Member,
+    token: FenceToken,
+    segments: Segment[],
+    isCopy = false,
+  ): Promise<void> {
     const { self, peers } = this.options;
     for (const segment of segments) {
       if (holder.id === self) {
-        await this.storeLocally(token, segment);
+        await this.storeLocally(token, segment, isCopy);
       } else {
-        const value = { fence: token, segment };
+        const value = { fence: token, segment, isCopy };
         const options = { progressTimeoutMs: HOLDER_TIMEOUT_MS };
         await peers.get(holder.address).call({ case: 'storeSegment', value }, options);
       }
@@ -218,3 +241,8 @@
   const message = `the turns of ${program} before ${turn} are not held here; send all of them`;
   return new CallError({ kind: 'transcript-required', message });
 }
+
+function turnHeld({ program, turn }: Segment): CallError {
+  const message = `another turn ${turn} of ${program} is held here; the copy is not needed`;
+  return new CallError({ kind: 'out-of-turn', message });
+}
