--- /dev/null
+++ b/packages/protocol/src/__tests__/peers.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net';
+import { dirname, join } from 'node:path';
+import test, { type TestContext } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { SystemClock, toCallError } from '@marjorampin/types';
+import type { Reply } from '../gen/peer_pb';
+import { PeerClient } from '../peerClient';
+import { type IncomingCall, PeerHandler } from '../peerChannel';
+import { PeerServer } from '../peerServer';
+import type { TlsFiles } from '../tlsFiles';
+
+const FIXTURES = join(dirname(fileURLToPath(import.meta.url)), '__fixtures__');
+const TLS: TlsFiles = {
+  certificate: join(FIXTURES, 'peer.pem'),
+  key: join(FIXTURES, 'peer.key'),
+  authority: join(FIXTURES, 'authority.pem'),
+};
+const LOOPBACK = { host: '127.0.0.1', port: 0 };
+const PROBE = { case: 'probe', value: { sender: 'test' } } as const;
+
+class Acknowledging extends PeerHandler {
+  calls = 0;
+
+  override async handle(_request: unknown, call: IncomingCall) {
+    this.calls += 1;
+    for (let part = 0; part < 300; part += 1) call.send(`${part} `);
+    return { body: { case: 'acknowledgement', value: { accepted: true } } } as const;
+  }
+
+  override handleReport(): void {
+    this.calls += 0;
+  }
+}
+
+/** Passes bytes on until it is frozen; then it keeps connections open and passes nothing. */
+class FreezableLink {
+  private readonly server: Server;
+
+  private readonly sockets: Socket[] = [];
+
+  constructor(target: number) {
+    this.server = createServer((near) => {
+      const far = connect(target, '127.0.0.1');
+      this.sockets.push(near, far);
+      near.on('data', (bytes) => far.write(bytes));
+      far.on('data', (bytes) => near.write(bytes));
+      [near, far].forEach((socket) => socket.on('error', () => socket.destroy()));
+    });
+  }
+
+  async listen(): Promise<number> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Freezes the connections of this moment; new ones work. */
+  freeze(): void {
+    const frozen = [...this.sockets];
+    this.sockets.length = 0;
+    frozen.forEach((socket) => {
+      socket.removeAllListeners('data');
+      socket.pause();
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+}
+
+async function startServer(context: TestContext, tls?: TlsFiles) {
+  const handler = new Acknowledging();
+  const clock = new SystemClock();
+  const server = new PeerServer({ address: LOOPBACK, handler, clock, ...(tls ? { tls } : {}) });
+  const { port } = await server.listen();
+  context.after(() => server.close());
+  return { handler, port };
+}
+
+function createClient(context: TestContext, port: number, tls?: TlsFiles): PeerClient {
+  const handler = new Acknowledging();
+  const address = `127.0.0.1:${port}`;
+  const client = new PeerClient({ address, handler, clock: new SystemClock(), tls });
+  context.after(() => client.close());
+  return client;
+}
+
+/** Until the new connection stands, a call fails at once as not run. */
+async function callUntilConnected(client: PeerClient): Promise<Reply> {
+  for (let attempt = 0; attempt < 200; attempt += 1) {
+    const result = await client.call(PROBE).catch(toCallError);
+    if ('body' in result) return result;
+    assert.equal(result.execution, 'not-run');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 25);
+    });
+  }
+  return assert.fail('no new connection was made');
+}
+
+test('a call streams all its parts in order and is answered', async (context) => {
+  const { port } = await startServer(context);
+  const parts: string[] = [];
+  const client = createClient(context, port);
+  const reply = await client.call(PROBE, { onItem: (text) => parts.push(text) });
+  assert.equal(reply.body.case, 'acknowledgement');
+  assert.equal(parts.join(''), Array.from({ length: 300 }, (_, part) => `${part} `).join(''));
+});
+
+test('peers with certificates of the authority reach each other', async (context) => {
+  const { port } = await startServer(context, TLS);
+  const reply = await createClient(context, port, TLS).call(PROBE);
+  assert.equal(reply.body.case, 'acknowledgement');
+});
+
+test('a peer without a certificate is refused', async (context) => {
+  const { handler, port } = await startServer(context, TLS);
+  const error = await createClient(context, port).call(PROBE).catch(toCallError);
+  assert.equal('kind' in error && error.kind, 'connection-lost');
+  assert.equal(handler.calls, 0);
+});
+
+test('a link that went silent for good is given up, and a new one is used', async (context) => {
+  const { port } = await startServer(context);
+  const link = new FreezableLink(port);
+  context.after(() => link.close());
+  const client = createClient(context, await link.listen());
+  await client.call(PROBE);
+  link.freeze();
+  const error = await client.call(PROBE).catch(toCallError);
+  assert.ok('kind' in error);
+  assert.deepEqual([error.kind, error.execution], ['connection-lost', 'unknown']);
+  assert.equal((await callUntilConnected(client)).body.case, 'acknowledgement');
+});
+
+test('a call that was cancelled before it left is not run, and the stream stays in use', async (context) => {
+  const { port } = await startServer(context);
+  const client = createClient(context, port);
+  const signal = AbortSignal.abort();
+  const cancelled = await client.call(PROBE, { signal }).catch(toCallError);
+  assert.equal('kind' in cancelled && cancelled.execution, 'not-run');
+  assert.equal((await client.call(PROBE)).body.case, 'acknowledgement');
+});
