A planned stop refuses calls over open connections once its partitions are handed over

Ruled out: handover (0 partitions left) and evacuation (64 at a time). Change: once the partitions are handed over, the entry stops listening and refuses further calls as leaving, not run, come back in 50 ms; requests in progress finish. The test's callers now go on sending to the leaving entry.

--- a/packages/development/src/__tests__/failures.test.ts
+++ b/packages/development/src/__tests__/failures.test.ts
@@ -325,9 +325,8 @@
   const cluster = await startCluster(context, { entryCount: 3 });
   const [leaving] = cluster.entries;
   assert.ok(leaving);
-  const urls = cluster.urls.slice(1);
-  const client = new CallerClient({ urls, key: KEY, rotates: true });
-  context.after(() => client.close());
+  // Callers go on sending to the leaving entry over the connections that they have.
+  const client = createClient(context, cluster);
   const programs = await Promise.all(Array.from({ length: 12 }, () => ProgramClient.open(client)));
   let isStopped = false;
   const runs = programs.map(async (program) => {
--- a/packages/entry/src/callerApi.ts
+++ b/packages/entry/src/callerApi.ts
@@ -25,8 +25,10 @@
   metrics: Metrics;
   burn: BurnRecorder;
   clock: Clock;
-  /** Returns true while new work is taken. */
+  /** Returns true while callers should be sent here. */
   isReady(): boolean;
+  /** Returns true until a planned stop has only requests in progress left to finish. */
+  isAccepting(): boolean;
   /** Returns the partitions of the list that this process owns. */
   ownedAmong(partitions: number[]): number[];
 }
@@ -73,6 +75,7 @@
     let isStreaming = false;
     let customer = '';
     try {
+      if (!this.options.isAccepting()) throw leaving();
       const contract = this.authenticate(event);
       customer = contract.customer;
       const { body, isStreamed, deadlineMs } = await parseBody(event, method);
@@ -200,3 +203,9 @@
   const message = `"${field}" is wrong: ${issue?.message}; see /openapi.json`;
   throw new CallError({ kind: 'invalid-request', message });
 }
+
+/** A caller whose connection outlives the listener is sent to another entry. */
+function leaving(): CallError {
+  const message = 'this entry is stopping; send the call to another entry';
+  return new CallError({ kind: 'leaving', message, retryAfterMs: 50 });
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -101,6 +101,8 @@
 
   private isLeaving = false;
 
+  private isClosing = false;
+
   private isStopped = false;
 
   private address = '';
@@ -156,6 +158,9 @@
     this.isLeaving = true;
     await this.register();
     await this.ownership?.whenHandedOver();
+    // Without this, callers on open connections would keep the entry busy for ever.
+    this.isClosing = true;
+    this.callerServer?.close();
     while ((this.callerApi?.running ?? 0) > 0 || this.hasDepartedCalls()) {
       await clock.sleep(DRAIN_POLL_MS);
     }
@@ -286,6 +291,7 @@
       burn,
       clock,
       isReady: () => !this.isLeaving,
+      isAccepting: () => !this.isClosing,
       ownedAmong: (partitions) =>
         partitions.filter((partition) => this.table.get(partition).owner === this.options.id),
     });
