--- a/packages/entry/src/ledgerClient.ts
+++ b/packages/entry/src/ledgerClient.ts
@@ -123,8 +123,12 @@
       const { owner } = table.get(shard);
       const address = addressOf(owner);
       try {
-        if (owner === self) return await askLocal(this.local(shard));
-        if (address) return Ok(await askRemote(address));
+        if (owner === self) {
+          const result = await askLocal(this.local(shard));
+          if (result.ok || result.val.kind !== 'not-owner') return result;
+          last = result.val;
+        }
+        if (owner !== self && address) return Ok(await askRemote(address));
       } catch (error) {
         last = toCallError(error);
         if (!['not-owner', 'connection-lost', 'stale-epoch'].includes(last.kind)) return Err(last);
--- /dev/null
+++ b/packages/ledger/src/__tests__/ledgerShard.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { MemoryKeyValueStore } from '@marjorampin/platform';
+import { ManualClock } from '@marjorampin/types';
+import { createLedgerRecord } from '../ledgerRecord';
+import { LedgerShard } from '../ledgerShard';
+
+const intent = (key: string) => createLedgerRecord({ key, kind: 'intent', attempt: 1 });
+
+function openShard(store: MemoryKeyValueStore, writer: string, clock: ManualClock): LedgerShard {
+  return new LedgerShard({ store, shard: 0, writer, clock, maximumTailBytes: 500 });
+}
+
+/** Moves the clock on until a promise is settled. */
+async function settle<Value>(clock: ManualClock, promise: Promise<Value>): Promise<Value> {
+  let isSettled = false;
+  promise.finally(() => {
+    isSettled = true;
+  });
+  while (!isSettled) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    await clock.advance(10);
+  }
+  return promise;
+}
+
+test('a former writer is told of the newer one, and loses nothing that it acknowledged', async () => {
+  const store = new MemoryKeyValueStore();
+  const clock = new ManualClock();
+  const former = openShard(store, 'entry-0', clock);
+  for (let index = 0; index < 9; index += 1) {
+    const appended = await settle(clock, former.append([intent(`key-${index}`)]));
+    assert.ok(appended.unwrap().appended);
+  }
+  const newer = openShard(store, 'entry-1', clock);
+  assert.equal((await newer.read('key-3')).unwrap()?.kind, 'intent');
+  const late = await settle(clock, former.append([intent('late')]));
+  assert.equal(late.err && late.val.kind, 'not-owner');
+  assert.equal((await newer.read('late')).unwrap(), undefined);
+  assert.equal(newer.size, 9);
+});
+
+test('writes to the store stay within the commit rate, whatever the load', async () => {
+  const store = new MemoryKeyValueStore();
+  const clock = new ManualClock();
+  const shard = openShard(store, 'entry-0', clock);
+  const appends: Promise<unknown>[] = [];
+  for (let tick = 0; tick < 100; tick += 1) {
+    for (let index = 0; index < 20; index += 1) {
+      appends.push(shard.append([intent(`${tick}/${index}`)]));
+    }
+    await clock.advance(10);
+  }
+  await settle(clock, Promise.all(appends));
+  // Ten commits a second, each of which may write a segment before the head, and one to open.
+  const commits = clock.now() / 100 + 1;
+  assert.ok(store.counts.writes <= 2 * commits + 1, `${store.counts.writes} writes`);
+});
--- a/packages/ledger/src/ledgerShard.ts
+++ b/packages/ledger/src/ledgerShard.ts
@@ -232,6 +232,10 @@
   }
 
   private unavailable(cause: StoreError): CallError {
+    if (cause.kind === 'conflict') {
+      const message = `ledger shard ${this.shard} has a newer writer; ask that entry`;
+      return new CallError({ kind: 'not-owner', message, retryAfterMs: 100 });
+    }
     const message = `ledger shard ${this.shard} could not be written (${cause.message}); retry later`;
     return new CallError({ kind: 'platform-unavailable', message, retryAfterMs: 1_000 });
   }
