Rendezvous orders for holders are worked out once; dead code removed

Every stored turn sorted all members by rendezvous weight (0.41 us a member by docs/capacity.json, so about 0.5 ms a turn at 1,300 members, worked out, not measured as a whole). Some state was written and never read. Behaviour and tests are as before.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -232,7 +232,7 @@
     const ledger = new LedgerClient({ self, store, table, peers, clock, addressOf });
     const incarnationOf = (entry: string) => members.get(entry)?.incarnation;
     const handovers = new Handovers({ clock, incarnationOf });
-    const registry = new ProgramRegistry({ configuration, history, ledger, handovers, clock, log });
+    const registry = new ProgramRegistry({ history, ledger, handovers, log });
     const sender = new HandoverSender({ self, registry, peers, clock, log, addressOf });
     const ownership = new Ownership({
       self,
--- a/packages/entry/src/historyKeeper.ts
+++ b/packages/entry/src/historyKeeper.ts
@@ -46,6 +46,11 @@
   /** Digest of the newest turn that is held here, by program. */
   private readonly tails = new Map<string, string>();
 
+  /** Rendezvous orders of partitions, for the members of this moment. */
+  private readonly orders = new Map<number, string[]>();
+
+  private orderedMembers: Member[] | undefined;
+
   constructor(options: HistoryKeeperOptions) {
     this.options = options;
   }
@@ -101,12 +106,9 @@
 
   /** Finds the chain that a continuation ends, or a longer one; undefined when nobody has it. */
   async find(token: FenceToken, continuation: Continuation): Promise<Segment[] | undefined> {
-    if (continuation.turn === 0 && continuation.holders.length === 0) {
-      const found = await this.readAll(token, continuation);
-      return longest(found, continuation) ?? [];
-    }
-    const found = await this.readAll(token, continuation);
-    return longest(found, continuation);
+    const chain = longest(await this.readAll(token, continuation), continuation);
+    const isNew = continuation.turn === 0 && continuation.holders.length === 0;
+    return chain ?? (isNew ? [] : undefined);
   }
 
   /** Gives every program under way that is held here to other entries, before a planned stop. */
@@ -132,11 +134,10 @@
     );
   }
 
-  /** Returns entries in the order of preference: self, former holders, then rendezvous order. */
+  /** Returns entries in the order of preference: one of another failure domain, self, the rest. */
   private candidates(partition: number, previous: string[]): Member[] {
-    const { self, members, hash } = this.options;
-    const order = rendezvousOrder(members.eligible(), partition, hash);
-    const ids = [...new Set([self, ...previous, ...order])];
+    const { self, members } = this.options;
+    const ids = [...new Set([self, ...previous, ...this.eligibleOrder(partition)])];
     const known = ids.flatMap((id) => members.get(id) ?? []).filter(({ leaving }) => !leaving);
     const own = members.get(self);
     // A remote holder comes first: it may know a newer owner, and then nothing is held here.
@@ -146,6 +147,19 @@
     return [...remote.slice(0, 1), ...selves, ...remote.slice(1), ...local];
   }
 
+  /** Returns the rendezvous order of a partition, worked out once for the same members. */
+  private eligibleOrder(partition: number): string[] {
+    const { members, hash } = this.options;
+    if (this.orderedMembers !== members.all()) {
+      this.orderedMembers = members.all();
+      this.orders.clear();
+    }
+    const order =
+      this.orders.get(partition) ?? rendezvousOrder(members.eligible(), partition, hash);
+    this.orders.set(partition, order);
+    return order;
+  }
+
   private async storeAt(
     holder: Member,
     token: FenceToken,
--- a/packages/entry/src/ownership.ts
+++ b/packages/entry/src/ownership.ts
@@ -100,11 +100,6 @@
     }
   }
 
-  /** Returns the epoch of a partition as last seen, whoever owns it. */
-  knownEpoch(partition: number): number {
-    return this.options.table.get(partition).epoch;
-  }
-
   /** Returns true while a former owner's word on a partition is awaited. */
   isAwaited(partition: number, epoch: number, sender: string): boolean {
     const owned = this.owned.get(partition);
--- a/packages/entry/src/program.ts
+++ b/packages/entry/src/program.ts
@@ -44,9 +44,6 @@
   /** Endpoints that may hold context of the program, the latest one last. */
   private visited: string[] = [];
 
-  /** Output tokens that the program got so far, for the order of work. */
-  attainedTokens = 0;
-
   /** Turn at which the program was taken over without its former owner's word; else -1. */
   recoveredAtTurn = -1;
 
@@ -115,11 +112,6 @@
     this.holders = holders;
   }
 
-  /** Counts output tokens that the program got. */
-  addAttained(tokens: number): void {
-    this.attainedTokens += tokens;
-  }
-
   /** Runs calls one after the other; a call with the same identity joins the running one. */
   enqueue(identity: string, run: () => Promise<string>): Promise<string> {
     const known = this.running.get(identity);
--- a/packages/entry/src/programOwner.ts
+++ b/packages/entry/src/programOwner.ts
@@ -236,7 +236,6 @@
         pause: (ms) => clock.sleep(ms),
       });
       spent = worst - body.maximumTokens + result.outputTokens;
-      program.addAttained(result.outputTokens);
       const { text, ...usage } = result;
       return { kind: 'model', request: body.input, answer: text, usage };
     } catch (error) {
--- a/packages/entry/src/programRegistry.ts
+++ b/packages/entry/src/programRegistry.ts
@@ -1,7 +1,6 @@
-import type { ConfigurationView } from '@marjorampin/configuration';
 import type { Continuation } from '@marjorampin/history';
 import type { EventLog } from '@marjorampin/logging';
-import { CallError, type Clock, parseProgramId, type Segment } from '@marjorampin/types';
+import { CallError, parseProgramId, type Segment } from '@marjorampin/types';
 import { BudgetAccount, budgetKey } from './budgetAccount';
 import type { Handovers } from './handovers';
 import type { HistoryKeeper } from './historyKeeper';
@@ -11,11 +10,9 @@
 
 /** What the registry needs. */
 export interface ProgramRegistryOptions {
-  configuration: ConfigurationView;
   history: HistoryKeeper;
   ledger: LedgerClient;
   handovers: Handovers;
-  clock: Clock;
   log: EventLog;
 }
 
