Keepers free reservations of turns that never ran and restart on their own disks

Change: a failed reservation is settled at 0, repeatedly; the state file holds the restored version and the roster; a keeper with an older roster than the sender's does not count as complete.

--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -164,6 +164,12 @@
     message: 'the keeper has left the roster and may be taken away',
     remedy: 'None needed.',
   },
+  settlementLost: {
+    number: 709,
+    level: 'warn',
+    message: 'keepers could not be told what a turn used, so that all it reserved stays counted',
+    remedy: 'Check that a majority of keepers runs; the program expires by itself.',
+  },
   keeperUnreachable: {
     number: 708,
     level: 'warn',
--- /dev/null
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -0,0 +1,133 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { MemoryEventLog } from '@marjorampin/logging';
+import { loadHash } from '@marjorampin/membership';
+import { Metrics } from '@marjorampin/metrics';
+import { type EndpointReport, PeerHandler, PeerPool, type Reply } from '@marjorampin/protocol';
+import { MemoryKeyValueStore } from '@marjorampin/store';
+import { SystemClock } from '@marjorampin/types';
+import { KeeperProcess } from '../keeperProcess';
+import { RetirementOrders } from '../rosterMember';
+import { parseRoster, ROSTER_KEY } from '../rosterRecord';
+import { TurnStore } from '../turnStore';
+
+const clock = new SystemClock();
+
+class ClientHandler extends PeerHandler {
+  override async handle(): Promise<Reply> {
+    throw new Error('an entry answers nothing');
+  }
+
+  override handleReport(_: EndpointReport): void {}
+}
+
+/** An order that a test gives. */
+export class TestOrders extends RetirementOrders {
+  isGiven = false;
+
+  readonly reports: string[] = [];
+
+  override isOrdered(): boolean {
+    return this.isGiven;
+  }
+
+  override async report(state: 'running' | 'completed'): Promise<boolean> {
+    this.reports.push(state);
+    return true;
+  }
+}
+
+/** One keeper of a test and its folder. */
+export interface TestKeeper {
+  process: KeeperProcess;
+  folder: string;
+  orders: TestOrders;
+  port: number;
+}
+
+/** Real keepers on loopback with a store in memory. */
+export class KeeperCluster {
+  readonly store = new MemoryKeyValueStore();
+
+  readonly log = new MemoryEventLog();
+
+  readonly keepers = new Map<string, TestKeeper>();
+
+  private readonly pools: PeerPool[] = [];
+
+  /** Starts a keeper; one that was there before gets its port again, and its folder unless wiped. */
+  async start(id: string, { isFirstStart = true } = {}): Promise<TestKeeper> {
+    const known = this.keepers.get(id);
+    const folder = known?.folder ?? (await mkdtemp(join(tmpdir(), 'keeper-')));
+    const orders = known?.orders ?? new TestOrders();
+    const process = new KeeperProcess({
+      id,
+      domain: id,
+      address: { host: '127.0.0.1', port: known?.port ?? 0 },
+      folder,
+      isFirstStart,
+      lossLimit: 1,
+      store: this.store,
+      retirement: orders,
+      clock,
+      log: this.log,
+      metrics: new Metrics(),
+    });
+    const port = await process.start();
+    const keeper = { process, folder, orders, port };
+    this.keepers.set(id, keeper);
+    return keeper;
+  }
+
+  /** Stops a keeper; its folder stays. */
+  async stop(id: string): Promise<void> {
+    await this.keepers.get(id)?.process.stop();
+  }
+
+  /** Stops a keeper and empties its disk. */
+  async wipe(id: string): Promise<void> {
+    await this.stop(id);
+    await rm(this.keepers.get(id)?.folder ?? '', { recursive: true });
+  }
+
+  /** Waits until the stored roster and all running keepers are as wanted. */
+  async settled(ids: string[]): Promise<void> {
+    const expected = JSON.stringify([...ids].sort());
+    while (true) {
+      const stored = await this.store.get(ROSTER_KEY);
+      const roster = stored.ok && stored.val && parseRoster(stored.val.value, stored.val.version);
+      const members = roster ? roster.keepers.map(({ id }) => id).sort() : [];
+      const areComplete = ids.every((id) => this.keepers.get(id)?.process.isComplete);
+      if (JSON.stringify(members) === expected && areComplete) return;
+      await clock.sleep(20);
+    }
+  }
+
+  /** Makes what an entry uses. */
+  async turnStore(): Promise<TurnStore> {
+    const peers = new PeerPool({ handler: new ClientHandler(), clock });
+    this.pools.push(peers);
+    const hash = await loadHash();
+    const turns = new TurnStore({ peers, hash, lossLimit: 1, clock, log: this.log });
+    await this.refresh(turns);
+    return turns;
+  }
+
+  /** Shows an entry the roster that is stored now. */
+  async refresh(turns: TurnStore): Promise<void> {
+    const stored = await this.store.get(ROSTER_KEY);
+    if (stored.err || !stored.val) throw new Error('no roster is stored');
+    const roster = parseRoster(stored.val.value, stored.val.version);
+    if (roster) turns.adopt(roster);
+  }
+
+  /** Stops everything and removes the folders. */
+  async close(): Promise<void> {
+    this.pools.forEach((pool) => pool.close());
+    for (const { process, folder } of this.keepers.values()) {
+      await process.stop();
+      await rm(folder, { recursive: true, force: true });
+    }
+  }
+}
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -72,11 +72,9 @@
     this.restoredVersion = Math.max(this.restoredVersion, version);
   }
 
-  /** Answers of this keeper count as complete. */
+  /** Answers of this keeper count as complete under its own roster. */
   get isComplete(): boolean {
-    return (
-      this.isIntact && this.roster !== undefined && this.restoredVersion >= this.roster.version
-    );
+    return this.roster !== undefined && this.isCompleteFor(this.roster.version);
   }
 
   override async handle({ body }: Request): Promise<ReplyInit> {
@@ -120,6 +118,12 @@
     await Promise.all(writes);
   }
 
+  /** A sender with a newer roster needs more than what this keeper restored for its own. */
+  private isCompleteFor(version: number): boolean {
+    const needed = Math.max(version, this.roster?.version ?? Infinity);
+    return this.isIntact && this.restoredVersion >= needed;
+  }
+
   /** A sender with an older roster gets the newer one: what it writes could be missed. */
   private newerRoster(version: number): ReplyInit | undefined {
     if (!this.roster) {
@@ -135,18 +139,19 @@
 
   private async reserve(request: ReserveTokens): Promise<ReplyInit> {
     const { book, clock } = this.options;
-    const { program, reservation, retentionMs, previous, wantsChain } = request;
+    const { program, reservation, retentionMs, previous, wantsChain, rosterVersion } = request;
     if (!reservation) throw missing('reservation');
     // Whoever reserves next has to see this one, so memory comes before the disk.
     const earlier = book.reserve(program, reservation, clock.now() + retentionMs);
     await this.write({ case: 'reservation', value: reservation }, program, retentionMs);
     const knowsPrevious = previous !== '' && book.has(previous);
     const chain = wantsChain && knowsPrevious ? book.chain(previous) : [];
-    const value = { earlier, knowsPrevious, chain, complete: this.isComplete };
+    const complete = this.isCompleteFor(rosterVersion);
+    const value = { earlier, knowsPrevious, chain, complete };
     return { body: { case: 'reservations', value } };
   }
 
-  private async commit({ record }: CommitTurn): Promise<ReplyInit> {
+  private async commit({ record, rosterVersion }: CommitTurn): Promise<ReplyInit> {
     if (!record) throw missing('record');
     const { book, clock } = this.options;
     const { program, turn, outputTokens, retentionMs } = record;
@@ -154,7 +159,8 @@
     book.add(record, expiresAtMs);
     book.settle(program, turn, outputTokens, expiresAtMs);
     await this.write({ case: 'record', value: record }, program, retentionMs);
-    return { body: { case: 'acknowledgement', value: { accepted: this.isComplete } } };
+    const accepted = this.isCompleteFor(rosterVersion);
+    return { body: { case: 'acknowledgement', value: { accepted } } };
   }
 
   private async settle({ program, reservation, retentionMs }: SettleTokens): Promise<ReplyInit> {
@@ -165,8 +171,9 @@
     return { body: { case: 'acknowledgement', value: { accepted: true } } };
   }
 
-  private read({ turn }: ReadTurns): ReplyInit {
-    const value = { records: this.options.book.chain(turn), complete: this.isComplete };
+  private read({ turn, rosterVersion }: ReadTurns): ReplyInit {
+    const complete = this.isCompleteFor(rosterVersion);
+    const value = { records: this.options.book.chain(turn), complete };
     return { body: { case: 'turnChain', value } };
   }
 
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -1,3 +1,4 @@
+import { create } from '@bufbuild/protobuf';
 import type { EventLog } from '@marjorampin/logging';
 import { loadHash } from '@marjorampin/membership';
 import type { Metrics } from '@marjorampin/metrics';
@@ -7,6 +8,7 @@
   PeerPool,
   PeerServer,
   type Roster,
+  RosterSchema,
 } from '@marjorampin/protocol';
 import { type KeyValueStore, WatchedPrefix } from '@marjorampin/store';
 import type { Clock, PeerAddress } from '@marjorampin/types';
@@ -62,7 +64,7 @@
 
   private expiry: NodeJS.Timeout | undefined;
 
-  private state: KeeperState = { disk: '', intact: false, isNew: true };
+  private state: KeeperState = { disk: '', intact: false, restoredVersion: -1, isNew: true };
 
   /** The disk of this keeper is one of the losses that the others have to make good. */
   private hasLostDisk = false;
@@ -83,8 +85,8 @@
     });
   }
 
-  /** Reads the disk, listens, and joins the roster in the background. */
-  async start(): Promise<void> {
+  /** Reads the disk, listens, and joins the roster in the background; returns the port in use. */
+  async start(): Promise<number> {
     const { id, domain, address, folder, isFirstStart, clock, log, store } = this.options;
     this.state = await readKeeperState(folder, { isFirstStart });
     // Whether a restoration that did not finish began with a lost disk is not known any more.
@@ -114,6 +116,12 @@
       intact: this.state.intact,
     });
     this.rosterKeys.start().then(() => this.member?.run());
+    return port;
+  }
+
+  /** Answers of this keeper count as complete. */
+  get isComplete(): boolean {
+    return this.handler?.isComplete ?? false;
   }
 
   /** Stops listening and closes the disk. */
@@ -133,7 +141,10 @@
     const hash = await loadHash();
     const { book, disk } = this;
     const handler = new KeeperHandler({ book, disk, clock, hash, lossLimit });
-    handler.isIntact = this.state.intact;
+    const { intact, restoredVersion, roster } = this.state;
+    handler.isIntact = intact;
+    handler.restoredVersion = restoredVersion;
+    if (roster) handler.adopt(create(RosterSchema, roster));
     handler.onRoster(() => this.restore());
     metrics.gauge('keeper_turns', 'turns held', () => book.size.turns);
     metrics.gauge('keeper_programs', 'programs held', () => book.size.programs);
@@ -169,7 +180,7 @@
       const accept = handler.accept.bind(handler);
       const options = { roster, self: id, lossLimit, hasLostDisk, peers, accept };
       if (await restoreFromPeers(options)) {
-        await this.becomeIntact();
+        await this.noteRestored(roster);
         handler.completeUpTo(roster.version);
         log.write('keeperRestored', { rosterVersion: roster.version, turns: this.book.size.turns });
       } else {
@@ -185,9 +196,9 @@
     return own !== undefined && own.disk !== this.state.disk;
   }
 
-  private async becomeIntact(): Promise<void> {
-    if (this.state.intact) return;
-    this.state = { ...this.state, intact: true };
+  private async noteRestored(roster: Roster): Promise<void> {
+    const restoredVersion = roster.version;
+    this.state = { ...this.state, intact: true, restoredVersion, roster };
     await writeKeeperState(this.options.folder, this.state);
     this.hasLostDisk = false;
   }
--- a/packages/turns/src/keeperState.ts
+++ b/packages/turns/src/keeperState.ts
@@ -3,10 +3,18 @@
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
 import { syncFolder } from './durableLog';
+import { rosterSchema } from './rosterRecord';
 
 const STATE_FILE = 'keeper.json';
 
-const stateSchema = z.object({ disk: z.string(), intact: z.boolean() });
+const stateSchema = z.object({
+  disk: z.string(),
+  intact: z.boolean(),
+  /** Version of the roster up to which all that is assigned is held. */
+  restoredVersion: z.number().default(-1),
+  /** Newest roster that was known, so that a restart needs no store. */
+  roster: rosterSchema.extend({ version: z.number() }).optional(),
+});
 
 /** What a keeper knows about its disk across restarts. */
 export interface KeeperState extends z.infer<typeof stateSchema> {
@@ -28,7 +36,12 @@
   );
   if (text !== undefined) return { ...stateSchema.parse(JSON.parse(text)), isNew: false };
   // An empty disk after the first start of all has lost what it held.
-  const state = { disk: randomUUID(), intact: isFirstStart, isNew: true };
+  const state: KeeperState = {
+    disk: randomUUID(),
+    intact: isFirstStart,
+    restoredVersion: -1,
+    isNew: true,
+  };
   await writeKeeperState(folder, state);
   return state;
 }
--- a/packages/turns/src/rosterRecord.ts
+++ b/packages/turns/src/rosterRecord.ts
@@ -12,7 +12,8 @@
 /** Key of the roster in the platform's store. */
 export const ROSTER_KEY = 'marjorampin/keepers';
 
-const rosterSchema = z.object({
+/** Keepers as they are written as JSON. */
+export const rosterSchema = z.object({
   keepers: z.array(
     z.object({
       id: z.string(),
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -1,3 +1,4 @@
+import type { EventLog } from '@marjorampin/logging';
 import type { Hash } from '@marjorampin/membership';
 import type {
   Keeper,
@@ -9,7 +10,7 @@
   Roster,
   TurnRecord,
 } from '@marjorampin/protocol';
-import { CallError } from '@marjorampin/types';
+import { CallError, type Clock } from '@marjorampin/types';
 import { isWhole, TurnCache } from './turnCache';
 import { activeKeepers, denialsNeeded, groupOf, quorumSize } from './keeperGroup';
 
@@ -18,6 +19,9 @@
 /** A keeper with a newer roster sends it along; a second one means that rosters change just now. */
 const ROSTER_ATTEMPTS = 4;
 const RETRY_AFTER_MS = 300;
+/** A settlement is repeated while keepers restart; together as long as a restart takes. */
+const SETTLE_ATTEMPTS = 6;
+const SETTLE_PAUSE_MS = 250;
 
 /** What one turn needs reserved before it may run. */
 export interface TurnReservation {
@@ -37,6 +41,8 @@
   peers: PeerPool;
   hash: Hash;
   lossLimit: number;
+  clock: Clock;
+  log: EventLog;
   /** Turns that this process remembers to save reads. */
   cacheBytes?: number;
 }
@@ -85,17 +91,13 @@
    * Throws `budget-exhausted`, `unknown-turn`, or `keepers-unavailable`; none of them ran the turn.
    */
   async reserve(request: TurnReservation): Promise<TurnRecord[]> {
-    const { previous } = request;
-    const cached = previous === undefined ? [] : this.cache.chain(previous);
-    const answers = await this.reserveAtQuorum(request, cached === undefined);
-    const spent = spentBefore(answers, request.turn);
-    if (spent + request.tokens > request.budget) {
+    try {
+      return await this.reserveAndRead(request);
+    } catch (error) {
+      // Some keepers may hold a reservation of a turn that will never run.
       this.settle(request, 0);
-      const message = `${spent} of ${request.budget} tokens are spent or reserved, and the turn may need ${request.tokens}; end the program or raise its budget`;
-      throw new CallError({ kind: 'budget-exhausted', message });
+      throw error;
     }
-    if (cached) return cached;
-    return this.findChain(request, previous ?? '', answers);
   }
 
   /** Writes a turn that was answered whole; resolves once it can't be lost. */
@@ -117,8 +119,28 @@
       case: 'settleTokens',
       value: { rosterVersion, program, reservation: { turn, tokens }, retentionMs },
     });
+    for (let attempt = 1; attempt <= SETTLE_ATTEMPTS; attempt += 1) {
+      const isSettled = await this.atQuorum(program, () => body, isAccepted).then(
+        () => true,
+        () => false,
+      );
+      if (isSettled) return;
+      await this.options.clock.sleep(SETTLE_PAUSE_MS * attempt);
+    }
     // The reservation stays counted as a whole, which is safe, until the program expires.
-    await this.atQuorum(program, () => body, isAccepted).catch(() => undefined);
+    this.options.log.write('settlementLost', { program, turn, tokens });
+  }
+
+  private async reserveAndRead(request: TurnReservation): Promise<TurnRecord[]> {
+    const { previous } = request;
+    const cached = previous === undefined ? [] : this.cache.chain(previous);
+    const answers = await this.reserveAtQuorum(request, cached === undefined);
+    const spent = spentBefore(answers, request.turn);
+    if (spent + request.tokens > request.budget) {
+      const message = `${spent} of ${request.budget} tokens are spent or reserved, and the turn may need ${request.tokens}; end the program or raise its budget`;
+      throw new CallError({ kind: 'budget-exhausted', message });
+    }
+    return cached ?? (await this.findChain(previous ?? '', answers));
   }
 
   private async reserveAtQuorum(
@@ -145,19 +167,15 @@
     );
   }
 
-  private async findChain(
-    request: TurnReservation,
-    previous: string,
-    answers: Reservations[],
-  ): Promise<TurnRecord[]> {
+  private async findChain(previous: string, answers: Reservations[]): Promise<TurnRecord[]> {
     const brought = answers.find(({ chain }) => isWhole(chain, previous))?.chain;
-    const chain = brought ?? (await this.readChain(previous, request));
+    const chain = brought ?? (await this.readChain(previous));
     chain.forEach((record) => this.cache.add(record));
     return chain;
   }
 
   /** Asks every keeper for a turn: another program may continue from it, with another group. */
-  private async readChain(turn: string, request: TurnReservation): Promise<TurnRecord[]> {
+  private async readChain(turn: string): Promise<TurnRecord[]> {
     const { peers, lossLimit } = this.options;
     const roster = this.knownRoster();
     const value = { rosterVersion: roster.version, turn };
@@ -176,7 +194,6 @@
     try {
       return await Promise.any(outcomes);
     } catch {
-      this.settle(request, 0);
       if (denials < denialsNeeded(roster, lossLimit)) {
         throw unavailable(`only ${denials} keepers could say whether turn ${turn} exists`);
       }
