Rosters change without a gap in service

Cause: after each change of the roster no keeper counted for seconds: a restoration waited for the dead keeper's timeout, wrote again what it held, and a keeper that was cut off joined again every second. Change: a restoration ends with the sources it needs and copies only what is missing; a keeper that reaches no majority neither joins nor removes; entries ask a quorum again for up to a second.

--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -24,10 +24,15 @@
 
 /** An order that a test gives. */
 export class TestOrders extends RetirementOrders {
-  isGiven = false;
+  private isGiven = false;
 
   readonly reports: string[] = [];
 
+  /** Orders the host to be emptied. */
+  give(): void {
+    this.isGiven = true;
+  }
+
   override isOrdered(): boolean {
     return this.isGiven;
   }
--- a/packages/turns/src/__tests__/keepers.test.ts
+++ b/packages/turns/src/__tests__/keepers.test.ts
@@ -167,7 +167,7 @@
       await turns.reserve(wish('t1'));
       await turns.commit(record('t1'));
       const leaving = cluster.keepers.get('a');
-      if (leaving) leaving.orders.isGiven = true;
+      leaving?.orders.give();
       await cluster.settled(['b', 'c', 'd']);
       while (!leaving?.orders.reports.includes('completed')) {
         await new Promise((resolve) => {
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -14,6 +14,7 @@
   type ReserveTokens,
   type Roster,
   type SettleTokens,
+  type TurnRecord,
 } from '@marjorampin/protocol';
 import { CallError, type Clock } from '@marjorampin/types';
 import type { DurableLog } from './durableLog';
@@ -89,6 +90,10 @@
         return this.newerRoster(body.value.rosterVersion) ?? this.read(body.value);
       case 'copyPrograms':
         return this.copy(body.value);
+      case 'copyTurns': {
+        const records = this.options.book.records(body.value.turns);
+        return { body: { case: 'turnChain', value: { records, complete: this.isIntact } } };
+      }
       case 'probe':
         return { body: { case: 'acknowledgement', value: { accepted: true } } };
       default:
@@ -101,21 +106,30 @@
 
   override handleReport(_: EndpointReport): void {}
 
-  /** Takes in what another keeper holds; resolves once it is on disk. */
-  async accept({ program, reservations, records, remainingMs }: ProgramCopy): Promise<void> {
+  /** Takes in reservations that another keeper holds, and returns the turns that are missing. */
+  async accept({ program, reservations, turns, remainingMs }: ProgramCopy): Promise<string[]> {
     const { book, clock } = this.options;
     const expiresAtMs = clock.now() + remainingMs;
-    const writes = [
-      ...reservations.map((reservation) => {
+    const news = reservations.filter((reservation) => book.isNews(program, reservation));
+    await Promise.all(
+      news.map((reservation) => {
         book.reserve(program, reservation, expiresAtMs);
         return this.write({ case: 'reservation', value: reservation }, program, remainingMs);
       }),
-      ...records.map((record) => {
-        book.add(record, expiresAtMs);
-        return this.write({ case: 'record', value: record }, program, remainingMs);
+    );
+    return turns.filter((turn) => !book.has(turn));
+  }
+
+  /** Takes in turns that another keeper holds; resolves once they are on disk. */
+  async acceptTurns(records: TurnRecord[]): Promise<void> {
+    const { book, clock } = this.options;
+    await Promise.all(
+      records.map((record) => {
+        const { program, retentionMs } = record;
+        book.add(record, clock.now() + retentionMs);
+        return this.write({ case: 'record', value: record }, program, retentionMs);
       }),
-    ];
-    await Promise.all(writes);
+    );
   }
 
   /** A sender with a newer roster needs more than what this keeper restored for its own. */
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -178,7 +178,8 @@
       this.hasLostDisk ||= !handler.isIntact && this.wasMember(roster);
       const { hasLostDisk } = this;
       const accept = handler.accept.bind(handler);
-      const options = { roster, self: id, lossLimit, hasLostDisk, peers, accept };
+      const acceptTurns = handler.acceptTurns.bind(handler);
+      const options = { roster, self: id, lossLimit, hasLostDisk, peers, accept, acceptTurns };
       if (await restoreFromPeers(options)) {
         await this.noteRestored(roster);
         handler.completeUpTo(roster.version);
--- a/packages/turns/src/programBook.ts
+++ b/packages/turns/src/programBook.ts
@@ -7,6 +7,9 @@
   type TurnRecord,
 } from '@marjorampin/protocol';
 
+/** About what an id with its numbers takes in a message. */
+const BYTES_PER_ENTRY = 32;
+
 interface KeptProgram {
   /** Tokens by turn, in the order in which the turns were first noted. */
   reservations: Map<string, number>;
@@ -59,6 +62,17 @@
     return [...last.ancestors.flatMap((ancestor) => this.find(ancestor) ?? []), last];
   }
 
+  /** Returns the turns that are held of those given. */
+  records(turns: string[]): TurnRecord[] {
+    return turns.flatMap((turn) => this.find(turn) ?? []);
+  }
+
+  /** Returns whether a reservation would change what is held. */
+  isNews(program: string, { turn, tokens }: Reservation): boolean {
+    const known = this.programs.get(program)?.reservations.get(turn);
+    return known === undefined || tokens < known;
+  }
+
   /** Returns whether a turn is held. */
   has(turn: string): boolean {
     return this.programOfTurn.has(turn);
@@ -88,10 +102,7 @@
     for (const id of ids) {
       if (size > bytes) return { programs, hasMore: true };
       const copy = this.copy(id, nowMs);
-      size += copy.records.reduce(
-        (sum, { input, output }) => sum + input.length + output.length,
-        0,
-      );
+      size += (copy.turns.length + copy.reservations.length) * BYTES_PER_ENTRY;
       programs.push(copy);
     }
     return { programs, hasMore: false };
@@ -107,7 +118,7 @@
     return create(ProgramCopySchema, {
       program,
       reservations: [...(kept?.reservations ?? [])].map(([turn, tokens]) => ({ turn, tokens })),
-      records: [...(kept?.records.values() ?? [])],
+      turns: [...(kept?.records.keys() ?? [])],
       remainingMs: Math.max(0, (kept?.expiresAtMs ?? nowMs) - nowMs),
     });
   }
--- a/packages/turns/src/restoration.ts
+++ b/packages/turns/src/restoration.ts
@@ -1,10 +1,20 @@
 import type { Hash } from '@marjorampin/membership';
-import type { Keeper, PeerPool, ProgramCopy, ProgramPage, Roster } from '@marjorampin/protocol';
+import type {
+  Keeper,
+  PeerPool,
+  ProgramCopy,
+  ProgramPage,
+  Roster,
+  TurnRecord,
+} from '@marjorampin/protocol';
 import { groupOf } from './keeperGroup';
 
 /** Time that one page of a copy may take; a page of about 1 MB crosses a slow link in less. */
 const PAGE_TIMEOUT_MS = 2_000;
 
+/** Turns of a few kilobytes each: together well below what a message may hold. */
+const TURNS_PER_COPY = 100;
+
 /** What a keeper copies and why. */
 export interface RestorationOptions {
   roster: Roster;
@@ -15,8 +25,10 @@
   /** Its own disk was lost, so that it counts among the losses itself. */
   hasLostDisk: boolean;
   peers: PeerPool;
-  /** Takes in what another keeper holds. */
-  accept(copy: ProgramCopy): Promise<void>;
+  /** Takes in what another keeper holds of a program; returns the turns that are missing. */
+  accept(copy: ProgramCopy): Promise<string[]>;
+  /** Takes in turns. */
+  acceptTurns(records: TurnRecord[]): Promise<void>;
 }
 
 /** Returns how many intact keepers have to be copied from before nothing can be missing. */
@@ -35,9 +47,20 @@
 export async function restoreFromPeers(options: RestorationOptions): Promise<boolean> {
   const { roster, self } = options;
   const others = roster.keepers.filter(({ id }) => id !== self);
-  const outcomes = await Promise.allSettled(others.map((other) => copyFrom(other, options)));
-  const intact = outcomes.filter((outcome) => outcome.status === 'fulfilled' && outcome.value);
-  return intact.length >= sourcesNeeded(options);
+  const needed = sourcesNeeded(options);
+  let intact = 0;
+  let ended = 0;
+  return new Promise((resolve) => {
+    if (needed === 0) resolve(true);
+    others.forEach(async (other) => {
+      // A keeper that can't be copied from counts as one of the losses that are allowed.
+      const isIntact = await copyFrom(other, options).catch(() => false);
+      ended += 1;
+      intact += isIntact ? 1 : 0;
+      if (intact >= needed) resolve(true);
+      else if (others.length - ended + intact < needed) resolve(false);
+    });
+  });
 }
 
 /** Copies all pages from one keeper; true when it is intact. */
@@ -47,12 +70,28 @@
   while (true) {
     const page = await requestPage(peers, source, { roster, receiver: self, after });
     // All writes of a page share a sync of the log.
-    await Promise.all(page.programs.map(accept));
+    const missing = (await Promise.all(page.programs.map(accept))).flat();
+    await copyTurns(source, missing, options);
     if (!page.hasMore) return page.intact;
     after = page.programs.at(-1)?.program ?? after;
   }
 }
 
+async function copyTurns(
+  { id, address }: Keeper,
+  missing: string[],
+  { peers, acceptTurns }: RestorationOptions,
+): Promise<void> {
+  for (let start = 0; start < missing.length; start += TURNS_PER_COPY) {
+    const turns = missing.slice(start, start + TURNS_PER_COPY);
+    const reply = await peers
+      .get(address)
+      .call({ case: 'copyTurns', value: { turns } }, { progressTimeoutMs: PAGE_TIMEOUT_MS });
+    if (reply.body.case !== 'turnChain') throw new Error(`keeper ${id} did not send its turns`);
+    await acceptTurns(reply.body.value.records);
+  }
+}
+
 async function requestPage(
   peers: PeerPool,
   source: Keeper,
--- a/packages/turns/src/rosterMember.ts
+++ b/packages/turns/src/rosterMember.ts
@@ -87,10 +87,20 @@
     await this.retireIfOrdered(roster);
     if (this.retired) return;
     const keepers = roster?.keepers ?? [];
-    const joined = this.withSelf(keepers);
-    const living = await this.withoutDead(joined);
-    if (sameKeepers(living, keepers)) return;
-    await this.write(living, roster?.version ?? 0);
+    const others = keepers.filter(({ id }) => id !== this.options.self.id);
+    const answering = await this.countAnswering(others);
+    // A keeper that is cut off from most others neither joins nor takes them for dead.
+    if (others.length > 0 && (1 + answering) * 2 <= 1 + others.length) return;
+    const changed = this.withSelf(this.withoutDead(keepers, answering));
+    if (sameKeepers(changed, keepers)) return;
+    await this.write(changed, roster?.version ?? 0);
+  }
+
+  /** Probes keepers and returns how many answer. */
+  private async countAnswering(others: Keeper[]): Promise<number> {
+    await Promise.all(others.map((other) => this.probe(other)));
+    const now = this.options.clock.now();
+    return others.filter(({ id }) => now - (this.answeredAtMs.get(id) ?? 0) < ROUND_MS).length;
   }
 
   /** Returns the keepers with this one as it is now. */
@@ -102,18 +112,13 @@
     return [...others, own].sort((a, b) => a.id.localeCompare(b.id));
   }
 
-  /** Returns the keepers without those that answered no probe for long, if a majority answered. */
-  private async withoutDead(keepers: Keeper[]): Promise<Keeper[]> {
+  /** Returns the keepers without those that answered no probe for long. */
+  private withoutDead(keepers: Keeper[], answering: number): Keeper[] {
     const { self, clock, log } = this.options;
-    const others = keepers.filter(({ id }) => id !== self.id);
-    await Promise.all(others.map((other) => this.probe(other)));
     const now = clock.now();
-    const isAnswering = ({ id }: Keeper) => now - (this.answeredAtMs.get(id) ?? 0) < ROUND_MS;
-    const reachable = 1 + others.filter(isAnswering).length;
-    if (reachable * 2 <= keepers.length) return keepers;
     return keepers.filter(({ id }) => {
       if (id === self.id || now - (this.answeredAtMs.get(id) ?? 0) < REMOVAL_AFTER_MS) return true;
-      log.write('keeperRemoved', { keeper: id, silentMs: REMOVAL_AFTER_MS, reachable });
+      log.write('keeperRemoved', { keeper: id, silentMs: REMOVAL_AFTER_MS, answering });
       return false;
     });
   }
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -16,8 +16,9 @@
 
 /** A quorum that does not answer within this time is given up; well above a sync on a busy disk. */
 const QUORUM_TIMEOUT_MS = 900;
-/** A keeper with a newer roster sends it along; a second one means that rosters change just now. */
-const ROSTER_ATTEMPTS = 4;
+/** Keepers are not ready for some ten milliseconds after each change of their roster. */
+const QUORUM_PATIENCE_MS = 1_000;
+const QUORUM_PAUSE_MS = 20;
 const RETRY_AFTER_MS = 300;
 /** A settlement is repeated while keepers restart; together as long as a restart takes. */
 const SETTLE_ATTEMPTS = 6;
@@ -208,13 +209,16 @@
     bodyFor: (index: number) => Versioned,
     isWanted: (reply: Reply) => boolean,
   ): Promise<Answer[]> {
-    for (let attempt = 1; ; attempt += 1) {
+    const { clock } = this.options;
+    const giveUpAtMs = clock.now() + QUORUM_PATIENCE_MS;
+    while (true) {
       const roster = this.knownRoster();
       try {
         return await this.askGroup(roster, program, bodyFor, isWanted);
       } catch (error) {
+        if (clock.now() >= giveUpAtMs) throw error;
         const hasNewer = (this.roster?.version ?? 0) > roster.version;
-        if (!hasNewer || attempt >= ROSTER_ATTEMPTS) throw error;
+        if (!hasNewer) await clock.sleep(QUORUM_PAUSE_MS);
       }
     }
   }
