An entry that is cut off from the keepers refuses turns at once and is not ready

Change: each entry probes the keepers; more silent ones than may be lost make it refuse turns at once and report itself as not ready. Test: keepers.test.ts, an entry that is cut off.

--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -170,6 +170,18 @@
     message: 'keepers could not be told what a turn used, so that all it reserved stays counted',
     remedy: 'Check that a majority of keepers runs; the program expires by itself.',
   },
+  keepersLost: {
+    number: 710,
+    level: 'warn',
+    message: 'this entry reaches too few keepers and takes no new connections',
+    remedy: 'Check the network between the named entry and the keepers.',
+  },
+  keepersRegained: {
+    number: 711,
+    level: 'info',
+    message: 'this entry reaches enough keepers again',
+    remedy: 'None needed.',
+  },
   keeperUnreachable: {
     number: 708,
     level: 'warn',
--- a/packages/turns/src/__tests__/keepers.test.ts
+++ b/packages/turns/src/__tests__/keepers.test.ts
@@ -47,6 +47,11 @@
   }
 };
 
+const nextTick = () =>
+  new Promise((resolve) => {
+    setTimeout(resolve, 20);
+  });
+
 interface Case {
   name: string;
   run(cluster: KeeperCluster, turns: TurnStore): Promise<void>;
@@ -128,7 +133,7 @@
     async run(cluster, turns) {
       await turns.reserve(wish('t1'));
       await turns.commit(record('t1'));
-      cluster.store.faults.down = true;
+      Object.assign(cluster.store.faults, { down: true });
       await Promise.all(IDS.map((id) => cluster.stop(id)));
       await Promise.all(IDS.map((id) => cluster.start(id)));
       await eventually('fine', () => turns.reserve(wish('t2', 't1')));
@@ -161,6 +166,20 @@
       await eventually('fine', () => other.reserve(wish('t2', 't1')));
     },
   },
+  {
+    name: 'an entry that is cut off from the keepers says so, and again when it is not',
+    async run(cluster, turns) {
+      turns.run();
+      await cluster.stop('a');
+      await cluster.stop('b');
+      while (turns.isReady) await nextTick();
+      assert.equal(await kindOf(turns.reserve(wish('t1'))), 'keepers-unavailable');
+      await cluster.start('a');
+      while (!turns.isReady) await nextTick();
+      turns.stop();
+      await eventually('fine', () => turns.reserve(wish('t2')));
+    },
+  },
   {
     name: 'a keeper is emptied before it is taken away',
     async run(cluster, turns) {
@@ -170,9 +189,7 @@
       leaving?.orders.give();
       await cluster.settled(['b', 'c', 'd']);
       while (!leaving?.orders.reports.includes('completed')) {
-        await new Promise((resolve) => {
-          setTimeout(resolve, 20);
-        });
+        await nextTick();
       }
       await cluster.wipe('a');
       await cluster.wipe('b');
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -3,6 +3,7 @@
 export * from './keeperGroup';
 export * from './keeperHandler';
 export * from './keeperProcess';
+export * from './keeperReach';
 export * from './keeperState';
 export * from './programBook';
 export * from './restoration';
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -11,6 +11,7 @@
   TurnRecord,
 } from '@marjorampin/protocol';
 import { CallError, type Clock } from '@marjorampin/types';
+import { KeeperReach } from './keeperReach';
 import { isWhole, TurnCache } from './turnCache';
 import { activeKeepers, denialsNeeded, groupOf, quorumSize } from './keeperGroup';
 
@@ -66,8 +67,11 @@
 
   private roster: Roster | undefined;
 
+  private readonly reach: KeeperReach;
+
   constructor(options: TurnStoreOptions) {
     this.options = options;
+    this.reach = new KeeperReach({ ...options, roster: () => this.roster });
     this.cache = new TurnCache(options.cacheBytes ?? CACHE_BYTES);
   }
 
@@ -82,9 +86,19 @@
     this.roster = roster;
   }
 
-  /** Returns true once a roster is known. */
+  /** Watches the way to the keepers until `stop`. */
+  async run(): Promise<void> {
+    await this.reach.run();
+  }
+
+  /** Ends what `run` began. */
+  stop(): void {
+    this.reach.stop();
+  }
+
+  /** Returns true while a roster is known and enough of its keepers answer. */
   get isReady(): boolean {
-    return this.roster !== undefined;
+    return this.roster !== undefined && !this.reach.isCutOff;
   }
 
   /**
@@ -133,6 +147,8 @@
   }
 
   private async reserveAndRead(request: TurnReservation): Promise<TurnRecord[]> {
+    // Another entry may reach them, so that the caller should not wait here.
+    if (this.reach.isCutOff) throw unavailable('this entry is cut off from the keepers');
     const { previous } = request;
     const cached = previous === undefined ? [] : this.cache.chain(previous);
     const answers = await this.reserveAtQuorum(request, cached === undefined);
