Connections to endpoints are used again

Change: connections that were idle for under a second are used again, but for calls that may not be repeated; an answer without the id of its call proves nothing.

--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -52,7 +52,7 @@
 
 /** What the headers of an answer say. */
 export interface AnswerTerms {
-  /** The call that the answer belongs to; undefined when it does not say. */
+  /** The call that the answer belongs to; undefined when it does not say, which proves nothing. */
   requestId: string | undefined;
   /** It bears the endpoint's mark of origin. */
   isGenuine: boolean;
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -94,6 +94,8 @@
           body,
           requestId: terms.requestId,
           signal,
+          // An unknown outcome ends the program of a call that may not be repeated by anyone.
+          mayReuseConnection: route.kind !== 'non-idempotent',
         },
         dialect,
       );
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -15,8 +15,21 @@
   body: Buffer;
   requestId: string;
   signal: AbortSignal;
+  /** Sends over a connection that an earlier call has left, if there is one. */
+  mayReuseConnection: boolean;
 }
 
+/** A connection that was idle for longer may be closing at the endpoint's side. */
+const IDLE_LIMIT_MS = 1_000;
+const IDLE_CONNECTIONS_PER_ENDPOINT = 32;
+
+const keptConnections = new http.Agent({
+  keepAlive: true,
+  maxFreeSockets: IDLE_CONNECTIONS_PER_ENDPOINT,
+  timeout: IDLE_LIMIT_MS,
+  scheduling: 'lifo',
+});
+
 /** The beginning of an endpoint's answer; the body follows in `message`. */
 export interface EndpointAnswer {
   status: number;
@@ -26,15 +39,16 @@
 }
 
 /**
- * Sends a call over a connection of its own and resolves with the beginning of the answer.
- * A call that runs at most once must not meet the leftovers of an earlier one, nor a connection
- * that the endpoint is just closing. Throws a `CallError` that says whether the call may have run.
+ * Sends a call and resolves with the beginning of the answer. A connection that is used again may
+ * be closing, or bring leftovers of an earlier call: the call then ends with an unknown outcome.
+ * Throws a `CallError` that says whether the call may have run.
  */
 export function exchangeWithEndpoint(
   call: EndpointCall,
   dialect: Dialect,
 ): Promise<EndpointAnswer> {
   const { endpoint, method, target, headers, body, requestId, signal } = call;
+  const agent = call.mayReuseConnection ? keptConnections : false;
   return new Promise((resolve, reject) => {
     let isConnected = false;
     const fail = (reason: string) => {
@@ -60,18 +74,23 @@
       method,
       path: target,
       headers,
-      agent: false,
+      agent,
       signal,
     });
     const connectTimer = setTimeout(() => {
       request.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
     }, CONNECT_TIMEOUT_MS);
+    const onConnected = () => {
+      isConnected = true;
+      clearTimeout(connectTimer);
+    };
     request.on('socket', (socket) => {
+      if (!socket.connecting) {
+        onConnected();
+        return;
+      }
       socket.setNoDelay(true);
-      socket.once('connect', () => {
-        isConnected = true;
-        clearTimeout(connectTimer);
-      });
+      socket.once('connect', onConnected);
     });
     request.on('response', (message) => {
       const status = message.statusCode ?? 0;
