Quorums ask the nearest keepers first; a slow entry sheds

Every write went to three keepers although two are enough. Change: smoothed lag of the event loop makes an entry not ready and turns requests away at once; a group is asked nearest first, the rest after 40 ms or a failure.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import type { Dialect } from './dialect';
 import { EndpointAttempts } from './endpointAttempts';
 import { EndpointChoice } from './endpointChoice';
+import { LoopLag } from './loopLag';
 import { headerBytes, headerValue } from './rawHeaders';
 import { TurnForwarder } from './turnForwarder';
 
@@ -34,6 +35,8 @@
 };
 /** Time after which a caller may come back to an entry that knows nothing yet. */
 const START_RETRY_MS = 500;
+/** Another entry can serve the call at once. */
+const ELSEWHERE_RETRY_MS = 10;
 /** A configuration older than this can't prove that a route does not exist. */
 const CONFIGURATION_TRUST_MS = 2_000;
 
@@ -75,6 +78,8 @@
 
   private table: RouteTable | undefined;
 
+  private readonly lag: LoopLag;
+
   private isStopping = false;
 
   private active = 0;
@@ -84,6 +89,7 @@
   constructor(options: GatewayOptions) {
     this.options = options;
     const { clock, domain, dialect, log, metrics, turns } = options;
+    this.lag = new LoopLag({ clock });
     this.choice = new EndpointChoice({ clock, domain });
     const attempts = new EndpointAttempts({ choice: this.choice, dialect, clock, log, metrics });
     this.calls = new CallForwarder({ attempts, dialect });
@@ -95,6 +101,7 @@
       response.writeHead(this.isReady ? 200 : 503).end();
     });
     metrics.gauge('gateway_active_requests', 'requests under way', () => this.active);
+    metrics.gauge('gateway_loop_lag_ms', 'smoothed lag of the event loop', () => this.lag.ms);
     metrics.gauge('gateway_configuration_version', 'version in force', () =>
       this.table ? this.table.configuration.version : 0,
     );
@@ -105,6 +112,7 @@
     const { address, readyAddress } = this.options;
     await listen(this.readyServer, readyAddress);
     await listen(this.server, address);
+    this.lag.run();
   }
 
   /** Takes over a configuration; a version never goes back. */
@@ -124,7 +132,8 @@
 
   /** New connections are welcome. */
   get isReady(): boolean {
-    return !this.isStopping && this.table !== undefined && this.options.turns.isReady;
+    const knowsAll = this.table !== undefined && this.options.turns.isReady;
+    return knowsAll && !this.isStopping && !this.lag.isHigh;
   }
 
   /** Requests that are not answered yet. */
@@ -144,6 +153,7 @@
 
   /** Stops listening and closes all connections. */
   async close(): Promise<void> {
+    this.lag.stop();
     const closed = Promise.all([this.server, this.readyServer].map(closeServer));
     this.server.closeAllConnections();
     this.readyServer.closeAllConnections();
@@ -203,6 +213,7 @@
     const { dialect, clock } = this.options;
     const { table } = this;
     if (!table) throw notConfigured();
+    if (Math.random() < this.lag.shedShare) throw this.tooSlow(response);
     const { limits } = table.configuration;
     if (headerBytes(message.rawHeaders) > limits.headerBytes) throw headersTooLarge(limits);
     const target = message.url ?? '/';
@@ -247,6 +258,14 @@
     await this.calls.forward(request);
   }
 
+  /** Refuses a call that another entry serves sooner; its connection should not bring more. */
+  private tooSlow(response: http.ServerResponse): CallError {
+    response.shouldKeepAlive = false;
+    const retryAfterMs = ELSEWHERE_RETRY_MS;
+    const message = `this entry runs ${Math.round(this.lag.ms)} ms late; retry at another one after ${retryAfterMs} ms`;
+    return new CallError({ kind: 'overloaded', message, retryAfterMs });
+  }
+
   private unknownRoute(target: string): CallError {
     if (this.options.configurationAgeMs() > CONFIGURATION_TRUST_MS) return notConfigured();
     return new CallError({
--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -114,7 +114,8 @@
     const peers = new PeerPool({ handler: new ClientHandler(), clock });
     this.pools.push(peers);
     const hash = await loadHash();
-    const turns = new TurnStore({ peers, hash, lossLimit: 1, clock, log: this.log });
+    const { log } = this;
+    const turns = new TurnStore({ peers, hash, lossLimit: 1, domain: 'a', clock, log });
     await this.refresh(turns);
     return turns;
   }
--- a/packages/turns/src/keeperReach.ts
+++ b/packages/turns/src/keeperReach.ts
@@ -38,6 +38,11 @@
     return this.isCut;
   }
 
+  /** Returns whether a keeper left its last probe unanswered. */
+  isSilent(id: string): boolean {
+    return (this.misses.get(id) ?? 0) > 0;
+  }
+
   /** Probes until `stop`. */
   async run(): Promise<void> {
     const { clock } = this.options;
@@ -67,14 +72,16 @@
 
   private async probe({ id, address }: Keeper): Promise<void> {
     const body = { case: 'probe' as const, value: { sender: '' } };
-    const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+    const controller = new AbortController();
+    const timer = setTimeout(() => controller.abort(), PROBE_TIMEOUT_MS);
     const hasAnswered = await this.options.peers
       .get(address)
-      .call(body, { signal })
+      .call(body, { signal: controller.signal })
       .then(
         () => true,
         () => false,
       );
+    clearTimeout(timer);
     this.misses.set(id, hasAnswered ? 0 : (this.misses.get(id) ?? 0) + 1);
   }
 }
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -13,14 +13,17 @@
 import { CallError, type Clock } from '@marjorampin/types';
 import { KeeperReach } from './keeperReach';
 import { isWhole, TurnCache } from './turnCache';
+import { keepersUnavailable } from './keepersUnavailable';
+import { askQuorum } from './askQuorum';
 import { activeKeepers, denialsNeeded, groupOf, quorumSize } from './keeperGroup';
 
 /** A quorum that does not answer within this time is given up; well above a sync on a busy disk. */
 const QUORUM_TIMEOUT_MS = 900;
+/** The rest of a group is asked after this long: several round trips and syncs. */
+const HEDGE_MS = 40;
 /** Keepers are not ready for some ten milliseconds after each change of their roster. */
 const QUORUM_PATIENCE_MS = 1_000;
 const QUORUM_PAUSE_MS = 20;
-const RETRY_AFTER_MS = 300;
 /** A settlement is repeated while keepers restart; together as long as a restart takes. */
 const SETTLE_ATTEMPTS = 6;
 const SETTLE_PAUSE_MS = 250;
@@ -43,6 +46,8 @@
   peers: PeerPool;
   hash: Hash;
   lossLimit: number;
+  /** Failure domain of this process; its keepers are asked first. */
+  domain: string;
   clock: Clock;
   log: EventLog;
   /** Turns that this process remembers to save reads. */
@@ -52,11 +57,6 @@
 /** The request body of a roster version. */
 type Versioned = (rosterVersion: number) => RequestBody;
 
-interface Answer {
-  keeper: Keeper;
-  reply: Reply;
-}
-
 const CACHE_BYTES = 24 * 1024 * 1024;
 
 /** Turns and budgets as entries see them: every write is on the disks of a majority of a group. */
@@ -148,7 +148,7 @@
 
   private async reserveAndRead(request: TurnReservation): Promise<TurnRecord[]> {
     // Another entry may reach them, so that the caller should not wait here.
-    if (this.reach.isCutOff) throw unavailable('this entry is cut off from the keepers');
+    if (this.reach.isCutOff) throw keepersUnavailable('this entry is cut off from the keepers');
     const { previous } = request;
     const cached = previous === undefined ? [] : this.cache.chain(previous);
     const answers = await this.reserveAtQuorum(request, cached === undefined);
@@ -179,9 +179,7 @@
       }),
       (reply) => reply.body.case === 'reservations' && reply.body.value.complete,
     );
-    return answers.flatMap(({ reply }) =>
-      reply.body.case === 'reservations' ? [reply.body.value] : [],
-    );
+    return answers.flatMap(({ body }) => (body.case === 'reservations' ? [body.value] : []));
   }
 
   private async findChain(previous: string, answers: Reservations[]): Promise<TurnRecord[]> {
@@ -202,17 +200,17 @@
         .get(address)
         .call({ case: 'readTurns', value }, { signal: AbortSignal.timeout(QUORUM_TIMEOUT_MS) });
       if (reply.body.case === 'newerRoster') this.adopt(reply.body.value);
-      if (reply.body.case !== 'turnChain') throw unavailable('the roster changes');
+      if (reply.body.case !== 'turnChain') throw keepersUnavailable('the roster changes');
       const { records, complete } = reply.body.value;
       if (isWhole(records, turn)) return records;
       if (complete && records.length === 0) denials += 1;
-      throw unavailable(`keeper at ${address} does not hold turn ${turn}`);
+      throw keepersUnavailable(`keeper at ${address} does not hold turn ${turn}`);
     });
     try {
       return await Promise.any(outcomes);
     } catch {
       if (denials < denialsNeeded(roster, lossLimit)) {
-        throw unavailable(`only ${denials} keepers could say whether turn ${turn} exists`);
+        throw keepersUnavailable(`only ${denials} keepers could say whether turn ${turn} exists`);
       }
       const message = `no turn ${turn} exists; start a new line of turns`;
       throw new CallError({ kind: 'unknown-turn', message });
@@ -224,7 +222,7 @@
     program: string,
     bodyFor: (index: number) => Versioned,
     isWanted: (reply: Reply) => boolean,
-  ): Promise<Answer[]> {
+  ): Promise<Reply[]> {
     const { clock } = this.options;
     const giveUpAtMs = clock.now() + QUORUM_PATIENCE_MS;
     while (true) {
@@ -244,41 +242,40 @@
     program: string,
     bodyFor: (index: number) => Versioned,
     isWanted: (reply: Reply) => boolean,
-  ): Promise<Answer[]> {
+  ): Promise<Reply[]> {
     const { peers, hash, lossLimit } = this.options;
-    const group = groupOf(roster, program, { lossLimit, hash });
-    const needed = quorumSize(group.length);
-    const signal = AbortSignal.timeout(QUORUM_TIMEOUT_MS);
-    return new Promise((resolve, reject) => {
-      const answers: Answer[] = [];
-      let failed = 0;
-      const fail = (reason: string) => {
-        failed += 1;
-        if (group.length - failed >= needed) return;
-        reject(unavailable(`${failed} of ${group.length} keepers failed, the last: ${reason}`));
-      };
-      if (group.length === 0) reject(unavailable('no keeper is registered'));
-      group.forEach(async (keeper, index) => {
-        try {
-          const body = bodyFor(index)(roster.version);
-          const reply = await peers.get(keeper.address).call(body, { signal });
-          if (reply.body.case === 'newerRoster') this.adopt(reply.body.value);
-          if (!isWanted(reply)) {
-            fail(`keeper ${keeper.id} is not ready: ${reply.body.case ?? 'empty'}`);
-            return;
-          }
-          answers.push({ keeper, reply });
-          if (answers.length === needed) resolve([...answers]);
-        } catch (error) {
-          fail(error instanceof Error ? error.message : String(error));
-        }
-      });
+    const group = this.nearestFirst(groupOf(roster, program, { lossLimit, hash }));
+    return askQuorum({
+      group,
+      needed: quorumSize(group.length),
+      hedgeMs: HEDGE_MS,
+      timeoutMs: QUORUM_TIMEOUT_MS,
+      ask: async (keeper, index) => {
+        const body = bodyFor(index)(roster.version);
+        const reply = await peers
+          .get(keeper.address)
+          .call(body, { progressTimeoutMs: QUORUM_TIMEOUT_MS });
+        if (reply.body.case === 'newerRoster') this.adopt(reply.body.value);
+        if (isWanted(reply)) return reply;
+        throw new Error(`keeper ${keeper.id} is not ready: ${reply.body.case ?? 'empty'}`);
+      },
     });
   }
 
+  /** Puts silent keepers last, and those of the own domain before those of others. */
+  private nearestFirst(group: Keeper[]): Keeper[] {
+    const { domain } = this.options;
+    const cost = (keeper: Keeper) =>
+      (this.reach.isSilent(keeper.id) ? 2 : 0) + (keeper.domain === domain ? 0 : 1);
+    return group
+      .map((keeper) => ({ keeper, cost: cost(keeper) }))
+      .sort((a, b) => a.cost - b.cost)
+      .map(({ keeper }) => keeper);
+  }
+
   private knownRoster(): Roster {
     if (this.roster && activeKeepers(this.roster).length > 0) return this.roster;
-    throw unavailable('no roster of keepers is known yet');
+    throw keepersUnavailable('no roster of keepers is known yet');
   }
 }
 
@@ -296,11 +293,3 @@
   tokens.delete(own);
   return [...tokens.values()].reduce((sum, amount) => sum + amount, 0);
 }
-
-function unavailable(reason: string): CallError {
-  return new CallError({
-    kind: 'keepers-unavailable',
-    message: `${reason}; retry after ${RETRY_AFTER_MS} ms`,
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-}
