A reset no longer ends an answer without length as if it were whole

Cause: the new table of misbehaving endpoints found it: libuv reports a reset that comes along with data as the end of the connection, and Node.js then takes a body without length for complete (the caller got 200 with a short body). Change: at such an end the socket is asked for its peer; without one the answer is broken. Test: forwarding.test.ts, 35 cases of wrong endpoints and callers; two failed before.

--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -51,6 +51,7 @@
   const agent = call.mayReuseConnection ? keptConnections : false;
   return new Promise((resolve, reject) => {
     let isConnected = false;
+    let answered: http.IncomingMessage | undefined;
     const fail = (reason: string) => {
       reject(
         new CallError({
@@ -101,17 +102,36 @@
         fail(`the answer belongs to call ${terms.requestId}`);
         return;
       }
+      answered = message;
+      watchForReset(message);
       resolve({ status, headers: message.rawHeaders, terms, message });
     });
     request.on('error', (error) => {
       clearTimeout(connectTimer);
       fail(error.message);
+      // Node.js takes a reset for the end of a body that has no length.
+      if (answered && !answered.complete) answered.destroy(error);
     });
     request.on('close', () => clearTimeout(connectTimer));
     request.end(body);
   });
 }
 
+/**
+ * Breaks an answer that a reset ends. libuv reports a reset that comes along with data as the
+ * orderly end of the connection; only the socket itself knows that it has no peer any more.
+ */
+function watchForReset(message: http.IncomingMessage): void {
+  const { socket, headers } = message;
+  const hasOwnEnd = headers['content-length'] ?? headers['transfer-encoding'];
+  if (hasOwnEnd !== undefined) return;
+  socket.prependOnceListener('end', () => {
+    if (!message.complete && socket.remoteAddress === undefined) {
+      message.destroy(new Error('the endpoint reset the connection'));
+    }
+  });
+}
+
 /** Reads an answer to its end; throws when it breaks off or is larger than the limit. */
 export async function readAnswerBody(
   message: http.IncomingMessage,
