A turn survives the removal of a keeper; a stopping entry refuses in time

After a keeper was removed, the others restored from as few sources as if nothing had been lost, and counted as complete without the turn. Cause 2: turns of a line lie at different pairs of keepers, but a line was only read from one keeper.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -82,6 +82,8 @@
 
   private isStopping = false;
 
+  private isRefusing = false;
+
   private active = 0;
 
   private lastRequestAtMs = 0;
@@ -151,6 +153,11 @@
     this.isStopping = true;
   }
 
+  /** Refuses every further request, so that those under way end in time. */
+  refuseNew(): void {
+    this.isRefusing = true;
+  }
+
   /** Stops listening and closes all connections. */
   async close(): Promise<void> {
     this.lag.stop();
@@ -190,7 +197,7 @@
     const { clock, metrics, dialect } = this.options;
     const requestId = dialect.requestIdOf(message.rawHeaders);
     this.active += 1;
-    this.lastRequestAtMs = clock.now();
+    if (!this.isRefusing) this.lastRequestAtMs = clock.now();
     if (this.isStopping) response.shouldKeepAlive = false;
     const startedMs = clock.now();
     try {
@@ -214,6 +221,7 @@
     const { dialect, clock } = this.options;
     const { table } = this;
     if (!table) throw notConfigured();
+    if (this.isRefusing) throw leaving();
     if (Math.random() < this.lag.shedShare) throw this.tooSlow(response);
     const { limits } = table.configuration;
     if (headerBytes(message.rawHeaders) > limits.headerBytes) throw headersTooLarge(limits);
@@ -340,6 +348,14 @@
   });
 }
 
+function leaving(): CallError {
+  return new CallError({
+    kind: 'leaving',
+    message: `this entry stops; retry at another one after ${ELSEWHERE_RETRY_MS} ms`,
+    retryAfterMs: ELSEWHERE_RETRY_MS,
+  });
+}
+
 function headersTooLarge({ headerBytes: limit }: CallerLimits): CallError {
   return new CallError({
     kind: 'header-too-large',
--- a/packages/turns/src/__tests__/keepers.test.ts
+++ b/packages/turns/src/__tests__/keepers.test.ts
@@ -180,6 +180,61 @@
       await eventually('fine', () => turns.reserve(wish('t2')));
     },
   },
+  {
+    name: 'a line whose turns are at different keepers is put together',
+    async run(cluster, turns) {
+      await cluster.stop('b');
+      await turns.reserve(wish('t1'));
+      await turns.commit(record('t1'));
+      await cluster.start('b');
+      await cluster.settled(IDS);
+      await cluster.stop('c');
+      await turns.reserve(wish('t2', 't1'));
+      await turns.commit(record('t2', ['t1']));
+      await cluster.start('c');
+      await cluster.settled(IDS);
+      await cluster.stop('a');
+      const other = await cluster.turnStore();
+      await eventually('fine', () => other.reserve(wish('t3', 't2')));
+    },
+  },
+  {
+    name: 'a line of which no keeper holds all is put together while one is away',
+    async run(cluster, turns) {
+      // With three keepers every program is shared by all, and each turn is at two of them.
+      await cluster.wipe('d');
+      await cluster.settled(['a', 'b', 'c']);
+      const line: string[] = [];
+      for (const away of ['c', 'a', 'b']) {
+        await cluster.stop(away);
+        const turn = `without-${away}`;
+        await eventually('fine', () => turns.reserve(wish(turn, line.at(-1))));
+        await turns.commit(record(turn, line));
+        line.push(turn);
+        await cluster.start(away);
+        await cluster.settled(['a', 'b', 'c']);
+      }
+      await cluster.stop('a');
+      const other = await cluster.turnStore();
+      await eventually('fine', () => other.reserve(wish('next', line.at(-1))));
+    },
+  },
+  {
+    name: 'a turn outlives two keepers that are lost one after the other',
+    async run(cluster, turns) {
+      await turns.reserve(wish('t1'));
+      await turns.commit(record('t1'));
+      for (const [lost, left] of [
+        ['a', ['b', 'c', 'd']],
+        ['b', ['c', 'd']],
+      ] as const) {
+        await cluster.wipe(lost);
+        await cluster.settled([...left]);
+      }
+      const other = await cluster.turnStore();
+      await eventually('fine', () => other.reserve(wish('t2', 't1')));
+    },
+  },
   {
     name: 'a keeper is emptied before it is taken away',
     async run(cluster, turns) {
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -16,7 +16,7 @@
 import { KeeperHandler } from './keeperHandler';
 import { type KeeperState, readKeeperState, writeKeeperState } from './keeperState';
 import { ProgramBook } from './programBook';
-import { restoreFromPeers } from './restoration';
+import { countDepartures, restoreFromPeers } from './restoration';
 import { type RetirementOrders, RosterMember } from './rosterMember';
 import { ROSTER_KEY } from './rosterRecord';
 
@@ -176,10 +176,11 @@
       const { roster } = handler;
       if (!roster) break;
       this.hasLostDisk ||= !handler.isIntact && this.wasMember(roster);
-      const { hasLostDisk } = this;
+      const departures = countDepartures(this.restoredRoster, roster);
+      const losses = departures + (this.hasLostDisk ? 1 : 0);
       const accept = handler.accept.bind(handler);
       const acceptTurns = handler.acceptTurns.bind(handler);
-      const options = { roster, self: id, lossLimit, hasLostDisk, peers, accept, acceptTurns };
+      const options = { roster, self: id, lossLimit, losses, peers, accept, acceptTurns };
       if (await restoreFromPeers(options)) {
         await this.noteRestored(roster);
         handler.completeUpTo(roster.version);
@@ -197,6 +198,10 @@
     return own !== undefined && own.disk !== this.state.disk;
   }
 
+  private get restoredRoster(): Roster | undefined {
+    return this.state.roster && create(RosterSchema, this.state.roster);
+  }
+
   private async noteRestored(roster: Roster): Promise<void> {
     const restoredVersion = roster.version;
     this.state = { ...this.state, intact: true, restoredVersion, roster };
--- a/packages/turns/src/restoration.ts
+++ b/packages/turns/src/restoration.ts
@@ -7,7 +7,7 @@
   Roster,
   TurnRecord,
 } from '@marjorampin/protocol';
-import { groupOf } from './keeperGroup';
+import { activeKeepers, groupOf } from './keeperGroup';
 
 /** Time that one page of a copy may take; a page of about 1 MB crosses a slow link in less. */
 const PAGE_TIMEOUT_MS = 2_000;
@@ -22,8 +22,9 @@
   self: string;
   /** Keepers that may be lost at once. */
   lossLimit: number;
-  /** Its own disk was lost, so that it counts among the losses itself. */
-  hasLostDisk: boolean;
+  /** Losses that have happened: its own disk, and keepers that left the roster since it was last
+   * restored. What they held may be left in fewer places. */
+  losses: number;
   peers: PeerPool;
   /** Takes in what another keeper holds of a program; returns the turns that are missing. */
   accept(copy: ProgramCopy): Promise<string[]>;
@@ -36,11 +37,17 @@
   roster,
   self,
   lossLimit,
-  hasLostDisk,
-}: Pick<RestorationOptions, 'roster' | 'self' | 'lossLimit' | 'hasLostDisk'>): number {
+  losses,
+}: Pick<RestorationOptions, 'roster' | 'self' | 'lossLimit' | 'losses'>): number {
   const others = roster.keepers.filter(({ id }) => id !== self).length;
-  const otherLosses = hasLostDisk ? Math.max(0, lossLimit - 1) : lossLimit;
-  return Math.max(0, others - otherLosses);
+  return Math.max(0, others - Math.max(0, lossLimit - losses));
+}
+
+/** Returns how many keepers of an earlier roster get no data any more under a later one. */
+export function countDepartures(earlier: Roster | undefined, later: Roster): number {
+  if (!earlier) return 0;
+  const active = new Set(activeKeepers(later).map(({ id }) => id));
+  return activeKeepers(earlier).filter(({ id }) => !active.has(id)).length;
 }
 
 /** Copies from all other keepers what is assigned to this one; true when nothing can be missing. */
--- a/packages/turns/src/turnCache.ts
+++ b/packages/turns/src/turnCache.ts
@@ -17,7 +17,7 @@
     const last = this.records.get(turn);
     if (!last) return undefined;
     const chain = [...last.ancestors.flatMap((ancestor) => this.records.get(ancestor) ?? []), last];
-    return isWhole(chain, turn) ? chain : undefined;
+    return chain.length === last.ancestors.length + 1 ? chain : undefined;
   }
 
   /** Remembers a turn and forgets the oldest ones beyond the limit. */
@@ -37,8 +37,11 @@
   return input.length + output.length;
 }
 
-/** Returns whether a chain ends with a turn and lacks none before it. */
-export function isWhole(chain: TurnRecord[], turn: string): boolean {
-  const last = chain.at(-1);
-  return last?.turn === turn && chain.length === last.ancestors.length + 1;
+/** Returns a turn and all before it out of records in any order; undefined when one is missing. */
+export function assembleChain(records: TurnRecord[], turn: string): TurnRecord[] | undefined {
+  const byTurn = new Map(records.map((record) => [record.turn, record]));
+  const last = byTurn.get(turn);
+  if (!last) return undefined;
+  const chain = [...last.ancestors.flatMap((ancestor) => byTurn.get(ancestor) ?? []), last];
+  return chain.length === last.ancestors.length + 1 ? chain : undefined;
 }
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -12,7 +12,7 @@
 } from '@marjorampin/protocol';
 import { CallError, type Clock } from '@marjorampin/types';
 import { KeeperReach } from './keeperReach';
-import { isWhole, TurnCache } from './turnCache';
+import { assembleChain, TurnCache } from './turnCache';
 import { keepersUnavailable } from './keepersUnavailable';
 import { askQuorum } from './askQuorum';
 import { activeKeepers, denialsNeeded, groupOf, quorumSize } from './keeperGroup';
@@ -183,17 +183,19 @@
   }
 
   private async findChain(previous: string, answers: Reservations[]): Promise<TurnRecord[]> {
-    const brought = answers.find(({ chain }) => isWhole(chain, previous))?.chain;
-    const chain = brought ?? (await this.readChain(previous));
+    const brought = answers.flatMap((answer) => answer.chain);
+    const chain = assembleChain(brought, previous) ?? (await this.readChain(previous, brought));
     chain.forEach((record) => this.cache.add(record));
     return chain;
   }
 
   /** Asks every keeper for a turn: another program may continue from it, with another group. */
-  private async readChain(turn: string): Promise<TurnRecord[]> {
+  private async readChain(turn: string, known: TurnRecord[]): Promise<TurnRecord[]> {
     const { peers, lossLimit } = this.options;
     const roster = this.knownRoster();
     const value = { rosterVersion: roster.version, turn };
+    // Each turn is at a majority of its own, so that no single keeper need hold a whole line.
+    const found = [...known];
     let denials = 0;
     const outcomes = roster.keepers.map(async ({ address }) => {
       const reply = await peers
@@ -202,13 +204,16 @@
       if (reply.body.case === 'newerRoster') this.adopt(reply.body.value);
       if (reply.body.case !== 'turnChain') throw keepersUnavailable('the roster changes');
       const { records, complete } = reply.body.value;
-      if (isWhole(records, turn)) return records;
+      found.push(...records);
+      const chain = assembleChain(found, turn);
+      if (chain) return chain;
       if (complete && records.length === 0) denials += 1;
       throw keepersUnavailable(`keeper at ${address} does not hold turn ${turn}`);
     });
     try {
       return await Promise.any(outcomes);
     } catch {
+      if (found.some((record) => record.turn === turn)) return this.readMissing(turn, found);
       if (denials < denialsNeeded(roster, lossLimit)) {
         throw keepersUnavailable(`only ${denials} keepers could say whether turn ${turn} exists`);
       }
@@ -217,6 +222,27 @@
     }
   }
 
+  /** Reads the turns before a found one that no keeper had together with it. */
+  private async readMissing(turn: string, found: TurnRecord[]): Promise<TurnRecord[]> {
+    const { peers } = this.options;
+    const held = new Set(found.map((record) => record.turn));
+    const last = found.find((record) => record.turn === turn);
+    const turns = (last?.ancestors ?? []).filter((ancestor) => !held.has(ancestor));
+    const parts = this.knownRoster().keepers.map(async ({ address }) => {
+      const body = { case: 'copyTurns' as const, value: { turns } };
+      const reply = await peers.get(address).call(body, { progressTimeoutMs: QUORUM_TIMEOUT_MS });
+      if (reply.body.case === 'turnChain') found.push(...reply.body.value.records);
+      const chain = assembleChain(found, turn);
+      if (chain) return chain;
+      throw keepersUnavailable(`keeper at ${address} does not hold all before turn ${turn}`);
+    });
+    try {
+      return await Promise.any(parts);
+    } catch {
+      throw keepersUnavailable(`${turns.length} turns before ${turn} could not be read`);
+    }
+  }
+
   /** Sends a request to the keepers of a program until a majority has answered as wanted. */
   private async atQuorum(
     program: string,
