--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 import { RouteTable } from '@marjorampin/routing';
 import type { TurnStore } from '@marjorampin/turns';
 import {
-  CallError,
+  type CallError,
   type Clock,
   type Endpoint,
   type PeerAddress,
@@ -18,6 +18,15 @@
 import type { Dialect } from './dialect';
 import { EndpointAttempts } from './endpointAttempts';
 import { EndpointChoice } from './endpointChoice';
+import {
+  badTarget,
+  expired,
+  headersTooLarge,
+  leaving,
+  notConfigured,
+  runsLate,
+  unknownRoute,
+} from './gatewayErrors';
 import { LoopLag } from './loopLag';
 import { headerBytes, headerValue } from './rawHeaders';
 import { TurnForwarder } from './turnForwarder';
@@ -33,10 +42,6 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** Time after which a caller may come back to an entry that knows nothing yet. */
-const START_RETRY_MS = 500;
-/** Another entry can serve the call at once. */
-const ELSEWHERE_RETRY_MS = 10;
 /** A configuration older than this can't prove that a route does not exist. */
 const CONFIGURATION_TRUST_MS = 2_000;
 
@@ -222,7 +227,11 @@
     const { table } = this;
     if (!table) throw notConfigured();
     if (this.isRefusing) throw leaving();
-    if (Math.random() < this.lag.shedShare) throw this.tooSlow(response);
+    if (Math.random() < this.lag.shedShare) {
+      // The connection should not bring more requests here.
+      response.shouldKeepAlive = false;
+      throw runsLate(this.lag.ms);
+    }
     const { limits } = table.configuration;
     if (headerBytes(message.rawHeaders) > limits.headerBytes) throw headersTooLarge(limits);
     const target = message.url ?? '/';
@@ -267,20 +276,9 @@
     await this.calls.forward(request);
   }
 
-  /** Refuses a call that another entry serves sooner; its connection should not bring more. */
-  private tooSlow(response: http.ServerResponse): CallError {
-    response.shouldKeepAlive = false;
-    const retryAfterMs = ELSEWHERE_RETRY_MS;
-    const message = `this entry runs ${Math.round(this.lag.ms)} ms late; retry at another one after ${retryAfterMs} ms`;
-    return new CallError({ kind: 'overloaded', message, retryAfterMs });
-  }
-
   private unknownRoute(target: string): CallError {
     if (this.options.configurationAgeMs() > CONFIGURATION_TRUST_MS) return notConfigured();
-    return new CallError({
-      kind: 'unknown-route',
-      message: `no route leads to ${target}; use a host and path of the configuration`,
-    });
+    return unknownRoute(target);
   }
 
   private answerError(
@@ -340,42 +338,6 @@
   }
 }
 
-function notConfigured(): CallError {
-  return new CallError({
-    kind: 'not-configured',
-    message: `this entry does not know the newest configuration yet; retry after ${START_RETRY_MS} ms`,
-    retryAfterMs: START_RETRY_MS,
-  });
-}
-
-function leaving(): CallError {
-  return new CallError({
-    kind: 'leaving',
-    message: `this entry stops; retry at another one after ${ELSEWHERE_RETRY_MS} ms`,
-    retryAfterMs: ELSEWHERE_RETRY_MS,
-  });
-}
-
-function headersTooLarge({ headerBytes: limit }: CallerLimits): CallError {
-  return new CallError({
-    kind: 'header-too-large',
-    message: `the headers are larger than ${limit} bytes; send smaller ones`,
-  });
-}
-
-function badTarget(target: string): CallError {
-  const message = `"${target}" is not a path; send one that begins with a slash`;
-  return new CallError({ kind: 'invalid-request', message });
-}
-
-function expired(execution: CallError['execution']): CallError {
-  const message = 'the deadline passed before the answer was there; allow more time';
-  if (execution === 'not-run') {
-    return new CallError({ kind: 'overloaded', message, retryAfterMs: START_RETRY_MS });
-  }
-  return new CallError({ kind: 'deadline-exceeded', message, execution });
-}
-
 async function listen(server: http.Server, { host, port }: PeerAddress): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/packages/store/src/httpKeyValueStore.ts
+++ b/packages/store/src/httpKeyValueStore.ts
@@ -4,6 +4,7 @@
 import {
   type Changes,
   type CompareAndSwap,
+  conflictError,
   KeyValueStore,
   type Snapshot,
   type StoredValue,
@@ -113,8 +114,7 @@
     lost: 'unavailable' | 'ambiguous',
   ): Result<Answer, StoreError> {
     if (status === 409) {
-      const message = 'the key was changed by another writer; read it again and retry';
-      return Err(new StoreError({ kind: 'conflict', message }));
+      return Err(conflictError());
     }
     if (status === 503) {
       const message = `platform store at ${this.url} refuses requests; retry later`;
--- a/packages/store/src/keyValueStore.ts
+++ b/packages/store/src/keyValueStore.ts
@@ -21,6 +21,12 @@
   }
 }
 
+/** Makes the error of a write over another version than the present one. */
+export function conflictError(): StoreError {
+  const message = 'the key was changed by another writer; read it again and retry';
+  return new StoreError({ kind: 'conflict', message });
+}
+
 /** A write that succeeds only over the expected version; 0 means that the key must be absent. */
 export interface CompareAndSwap {
   key: string;
--- a/packages/store/src/memoryKeyValueStore.ts
+++ b/packages/store/src/memoryKeyValueStore.ts
@@ -2,6 +2,7 @@
 import {
   type Changes,
   type CompareAndSwap,
+  conflictError,
   KeyValueStore,
   type Snapshot,
   type StoredValue,
@@ -25,12 +26,6 @@
   watches: number;
 }
 
-const conflict = () =>
-  new StoreError({
-    kind: 'conflict',
-    message: 'the key was changed by another writer; read it again and retry',
-  });
-
 const unavailable = () =>
   new StoreError({ kind: 'unavailable', message: 'the store is down; retry later' });
 
@@ -67,7 +62,7 @@
     await this.pause();
     if (this.faults.down) return Err(unavailable());
     const { key, value, expectedVersion } = write;
-    if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return Err(conflict());
+    if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return Err(conflictError());
     const version = expectedVersion + 1;
     this.revision += 1;
     this.removals.delete(key);
@@ -81,7 +76,7 @@
     this.counts.writes += 1;
     await this.pause();
     if (this.faults.down) return Err(unavailable());
-    if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return Err(conflict());
+    if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return Err(conflictError());
     this.revision += 1;
     this.values.delete(key);
     this.removals.set(key, this.revision);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,6 +2,7 @@
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
+import { bundleOptions } from './bundleOptions.mjs';
 
 const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 const BUNDLE = 'dist/marjorampin.cjs';
@@ -12,16 +13,9 @@
 await build({
   entryPoints: ['packages/cli/src/main.ts'],
   outfile: BUNDLE,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  // The module builds come first: the others ask for helpers at run time.
-  mainFields: ['module', 'main'],
-  external: ['dtrace-provider', 'mv', 'source-map-support'],
+  ...bundleOptions,
   // Node warns at the first require() of a single executable, before any module runs.
   banner: { js: "process.removeAllListeners('warning');" },
-  logLevel: 'warning',
 });
 writeFileSync(
   'dist/sea.json',
