--- a/packages/store/src/watchedPrefix.ts
+++ b/packages/store/src/watchedPrefix.ts
@@ -2,7 +2,8 @@
 import type { Changes, KeyValueStore, StoredValue } from './keyValueStore';
 
 const WATCH_WAIT_MS = 30_000;
-const RETRY_PAUSE_MS = 250;
+/** Pause after a request that failed; the store's own refusals come back at once. */
+export const RETRY_PAUSE_MS = 100;
 
 /** What to watch. */
 export interface WatchedPrefixOptions {
