--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -10,7 +10,6 @@
   route: Route;
   terms: CallTerms;
   body: Buffer;
-  arrivedAtMs: number;
   /** Time of the clock until which the caller is kept waiting. */
   deadlineMs: number;
   /** Aborts when the caller leaves or the deadline passes. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -100,7 +100,7 @@
     this.choice = new EndpointChoice({ clock, domain });
     const attempts = new EndpointAttempts({ choice: this.choice, dialect, clock, log, metrics });
     this.calls = new CallForwarder({ attempts, dialect });
-    this.turns = new TurnForwarder({ attempts, dialect, turns, log });
+    this.turns = new TurnForwarder({ attempts, dialect, turns });
     this.server = this.createServer();
     this.applyLimits(INITIAL_LIMITS);
     this.readyServer = http.createServer((message, response) => {
@@ -251,7 +251,6 @@
         route,
         terms,
         body,
-        arrivedAtMs,
         deadlineMs,
         signal,
       };
--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -1,5 +1,4 @@
 import { create } from '@bufbuild/protobuf';
-import type { EventLog } from '@marjorampin/logging';
 import { type TurnRecord, TurnRecordSchema } from '@marjorampin/protocol';
 import { pickDestination, type RoutedService } from '@marjorampin/routing';
 import type { TurnReservation, TurnStore } from '@marjorampin/turns';
@@ -19,7 +18,6 @@
   attempts: EndpointAttempts;
   dialect: Dialect;
   turns: TurnStore;
-  log: EventLog;
 }
 
 /** A turn that is under way. */
