A turn that ran and could not be kept is not logged as not run

The keepers' refusal of the record is a CallError that says not-run of its own request; it was passed on as the outcome of the turn. Callers only saw a broken stream, but event 802 said not-run of a turn that an endpoint had run, and only the sent head kept the turn from being sent once more. Change: the error of a record that was not written says done.

--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -2,7 +2,7 @@
 import { type TurnRecord, TurnRecordSchema } from '@marjorampin/protocol';
 import { pickDestination, type RoutedService } from '@marjorampin/routing';
 import type { TurnReservation, TurnStore } from '@marjorampin/turns';
-import { CallError, type Endpoint } from '@marjorampin/types';
+import { CallError, type Endpoint, toCallError } from '@marjorampin/types';
 import { readWholeAnswer, relayStream, sendWholeAnswer } from './answerRelay';
 import type { CallerRequest } from './callerRequest';
 import type { Dialect, ProgramTerms } from './dialect';
@@ -89,7 +89,7 @@
     const events = new EventReader();
     try {
       await relayStream(response, answer, dialect, (part) => events.read(part));
-      await turns.commit(recordOf(turn, events, endpoint));
+      await turns.commit(recordOf(turn, events, endpoint)).catch(throwNotKept);
     } catch (error) {
       turns.settle(turn.reservation, events.startedCount * turn.tokensPerEvent);
       throw error;
@@ -116,6 +116,12 @@
   });
 }
 
+/** The endpoint was done with the turn, whatever the keepers' error says of their own request. */
+function throwNotKept(error: unknown): never {
+  const { kind, message, retryAfterMs } = toCallError(error);
+  throw new CallError({ kind, message, retryAfterMs, execution: 'done' });
+}
+
 /** Returns a point between 0 and 1 that stays the same for a line of turns. */
 function sharePoint(session: string): number {
   const parsed = Number.parseInt(session.slice(-6), 16);
