--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,7 +62,7 @@
   ...configs.node.recommended,
   ...configs.base.typescript,
   {
-    files: ['packages/**/*.ts', 'platform/**/*.ts'],
+    files: ['packages/**/*.{ts,mjs}', 'platform/**/*.ts'],
     rules: { ...HOUSE_RULES, ...FORMATTING_RULES },
   },
   {
--- a/packages/protocol/src/peerPool.ts
+++ b/packages/protocol/src/peerPool.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@marjorampin/types';
 import { PeerClient } from './peerClient';
-import type { PeerHandler } from './peerChannel';
+import type { CallOptions, PeerHandler, RequestBody } from './peerChannel';
+import type { Reply } from './gen/peer_pb';
 import type { TlsFiles } from './tlsFiles';
 
 /** What all connections of a process share. */
@@ -10,8 +11,23 @@
   tls?: TlsFiles | undefined;
 }
 
+/** The way to one peer. */
+export interface PeerLink {
+  /** Milliseconds since the peer was heard last. */
+  readonly silentMs: number;
+  /** Sends a request and resolves with its answer. */
+  call(body: RequestBody, options?: CallOptions): Promise<Reply>;
+}
+
+/** The ways to all peers, by address. */
+export interface Peers {
+  get(address: string): PeerLink;
+  /** Forgets a peer; its calls fail at once. */
+  drop(address: string): void;
+}
+
 /** One connection for each peer that this process talks to. */
-export class PeerPool {
+export class PeerPool implements Peers {
   private readonly options: PeerPoolOptions;
 
   private readonly clients = new Map<string, PeerClient>();
--- a/packages/store/src/memoryKeyValueStore.ts
+++ b/packages/store/src/memoryKeyValueStore.ts
@@ -13,6 +13,8 @@
 export interface StoreFaults {
   /** Every request fails. */
   down: boolean;
+  /** Every write fails, while reads are answered. */
+  refusesWrites: boolean;
   /** Every answer takes this much longer. */
   slowMs: number;
   /** This many writes take effect with their answers lost. */
@@ -31,7 +33,12 @@
 
 /** A key-value store in memory with switches for its failures. */
 export class MemoryKeyValueStore extends KeyValueStore {
-  readonly faults: StoreFaults = { down: false, slowMs: 0, loseAnswers: 0 };
+  readonly faults: StoreFaults = {
+    down: false,
+    refusesWrites: false,
+    slowMs: 0,
+    loseAnswers: 0,
+  };
 
   readonly counts: StoreCounts = { reads: 0, writes: 0, watches: 0 };
 
@@ -60,7 +67,7 @@
   override async compareAndSwap(write: CompareAndSwap): Promise<Result<number, StoreError>> {
     this.counts.writes += 1;
     await this.pause();
-    if (this.faults.down) return Err(unavailable());
+    if (this.faults.down || this.faults.refusesWrites) return Err(unavailable());
     const { key, value, expectedVersion } = write;
     if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return Err(conflictError());
     const version = expectedVersion + 1;
@@ -75,7 +82,7 @@
   override async remove(key: string, expectedVersion: number): Promise<Result<void, StoreError>> {
     this.counts.writes += 1;
     await this.pause();
-    if (this.faults.down) return Err(unavailable());
+    if (this.faults.down || this.faults.refusesWrites) return Err(unavailable());
     if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return Err(conflictError());
     this.revision += 1;
     this.values.delete(key);
--- a/packages/turns/src/__tests__/keepers.test.ts
+++ b/packages/turns/src/__tests__/keepers.test.ts
@@ -52,6 +52,8 @@
     setTimeout(resolve, 20);
   });
 
+const isRefusedWrite = ({ event }: { event: string }) => event === 'rosterWriteFailed';
+
 interface Case {
   name: string;
   run(cluster: KeeperCluster, turns: TurnStore): Promise<void>;
@@ -153,6 +155,22 @@
       await eventually('fine', () => other.reserve(wish('t2', 't1')));
     },
   },
+  {
+    name: 'a wiped keeper proves nothing before the roster lists its new disk',
+    async run(cluster, turns) {
+      await turns.reserve(wish('t1'));
+      await turns.commit(record('t1'));
+      await cluster.wipe('a');
+      const { faults } = cluster.store;
+      faults.refusesWrites = true;
+      const { process } = await cluster.start('a', { isFirstStart: false });
+      // By the second refusal, a copy under the old roster would long be complete.
+      while (cluster.log.events.filter(isRefusedWrite).length < 2) await nextTick();
+      assert.equal(process.isComplete, false);
+      faults.refusesWrites = false;
+      await cluster.settled(IDS);
+    },
+  },
   {
     name: 'a new keeper takes the place of a lost one',
     async run(cluster, turns) {
--- a/packages/turns/src/askQuorum.ts
+++ b/packages/turns/src/askQuorum.ts
@@ -1,4 +1,5 @@
 import type { Keeper, Reply } from '@marjorampin/protocol';
+import type { Clock } from '@marjorampin/types';
 import { keepersUnavailable } from './keepersUnavailable';
 
 /** Whom to ask, and how many answers are enough. */
@@ -9,6 +10,7 @@
   /** Those beyond the first `needed` are asked after this long, or in place of one that fails. */
   hedgeMs: number;
   timeoutMs: number;
+  clock: Clock;
   /** Sends the request to one keeper; a rejection is a failure of that keeper. */
   ask(keeper: Keeper, index: number): Promise<Reply>;
 }
@@ -19,15 +21,16 @@
   needed,
   hedgeMs,
   timeoutMs,
+  clock,
   ask,
 }: QuorumOptions): Promise<Reply[]> {
   return new Promise((resolve, reject) => {
     const answers: Reply[] = [];
-    const timers: NodeJS.Timeout[] = [];
+    const timers: (() => void)[] = [];
     let asked = 0;
     let failed = 0;
     const end = (settle: () => void) => {
-      timers.forEach(clearTimeout);
+      timers.forEach((cancel) => cancel());
       settle();
     };
     const askNext = async () => {
@@ -59,7 +62,7 @@
     const giveUp = () => {
       reject(keepersUnavailable(`${answers.length} of ${needed} keepers answered in time`));
     };
-    timers.push(setTimeout(askRest, hedgeMs), setTimeout(giveUp, timeoutMs));
+    timers.push(clock.after(hedgeMs, askRest), clock.after(timeoutMs, giveUp));
     while (asked < needed) askNext();
   });
 }
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -29,7 +29,7 @@
 /** What a keeper answers from. */
 export interface KeeperHandlerOptions {
   book: ProgramBook;
-  disk: DurableLog;
+  disk: Pick<DurableLog, 'append'>;
   clock: Clock;
   hash: Hash;
   lossLimit: number;
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -4,7 +4,6 @@
 import type { Metrics } from '@marjorampin/metrics';
 import {
   type Keeper,
-  type KeptEvent,
   PeerPool,
   PeerServer,
   type Roster,
@@ -16,6 +15,7 @@
 import { KeeperHandler } from './keeperHandler';
 import { type KeeperState, readKeeperState, writeKeeperState } from './keeperState';
 import { ProgramBook } from './programBook';
+import { replayEvent } from './replayEvent';
 import { countDepartures, restoreFromPeers } from './restoration';
 import { type RetirementOrders, RosterMember } from './rosterMember';
 import { ROSTER_KEY } from './rosterRecord';
@@ -92,7 +92,7 @@
     // Whether a restoration that did not finish began with a lost disk is not known any more.
     this.hasLostDisk = !this.state.isNew && !this.state.intact;
     const events = await this.disk.replay();
-    events.forEach((event) => this.replay(event));
+    events.forEach((event) => replayEvent(this.book, event, clock));
     const handler = await this.createHandler();
     this.handler = handler;
     this.peers = new PeerPool({ handler, clock });
@@ -154,18 +154,6 @@
     return handler;
   }
 
-  private replay({ body, program, writtenAtMs, retentionMs }: KeptEvent): void {
-    const { clock } = this.options;
-    const ageMs = Math.max(0, clock.wallTime() - writtenAtMs);
-    if (ageMs >= retentionMs) return;
-    const expiresAtMs = clock.now() + retentionMs - ageMs;
-    if (body.case === 'reservation') this.book.reserve(program, body.value, expiresAtMs);
-    if (body.case !== 'record') return;
-    const { turn, outputTokens } = body.value;
-    this.book.add(body.value, expiresAtMs);
-    this.book.settle(program, turn, outputTokens, expiresAtMs);
-  }
-
   /** Copies what is assigned to this keeper under the newest roster, until nothing can be missing. */
   private async restore(): Promise<void> {
     const { handler, peers } = this;
@@ -174,8 +162,9 @@
     const { id, lossLimit, clock, log } = this.options;
     while (!handler.isComplete && !this.isStopped) {
       const { roster } = handler;
-      if (!roster) break;
-      this.hasLostDisk ||= !handler.isIntact && this.wasMember(roster);
+      // Under the roster of the lost disk, others still accept what counted on that disk; restoring
+      // goes on with the roster that lists the new one.
+      if (!roster || this.listsLostDisk(roster)) break;
       const departures = countDepartures(this.restoredRoster, roster);
       const losses = departures + (this.hasLostDisk ? 1 : 0);
       const accept = handler.accept.bind(handler);
@@ -193,9 +182,11 @@
   }
 
   /** A keeper that is in the roster with another disk has lost that one. */
-  private wasMember({ keepers }: Roster): boolean {
+  private listsLostDisk({ keepers }: Roster): boolean {
     const own = keepers.find(({ id }) => id === this.options.id);
-    return own !== undefined && own.disk !== this.state.disk;
+    const isLost = own !== undefined && own.disk !== this.state.disk;
+    if (isLost) this.hasLostDisk = true;
+    return isLost;
   }
 
   private get restoredRoster(): Roster | undefined {
--- a/packages/turns/src/programBook.ts
+++ b/packages/turns/src/programBook.ts
@@ -11,7 +11,7 @@
 const BYTES_PER_ENTRY = 32;
 
 interface KeptProgram {
-  /** Tokens by turn, in the order in which the turns were first noted. */
+  /** Tokens by turn. */
   reservations: Map<string, number>;
   records: Map<string, TurnRecord>;
   expiresAtMs: number;
@@ -29,18 +29,19 @@
 
   private readonly programOfTurn = new Map<string, string>();
 
-  /** Notes a reservation and returns those of the program that were noted before it. */
+  /** Notes a reservation and returns all others of the program. A repeated one gets those that were
+   * copied from other keepers in the meantime, although they were made before it. */
   reserve(program: string, { turn, tokens }: Reservation, expiresAtMs: number): Reservation[] {
     const kept = this.keep(program, expiresAtMs);
-    const earlier: Reservation[] = [];
     const known = kept.reservations.get(turn);
-    for (const [other, otherTokens] of kept.reservations) {
-      if (other === turn) break;
-      earlier.push(create(ReservationSchema, { turn: other, tokens: otherTokens }));
-    }
+    const others = [...kept.reservations]
+      .filter(([other]) => other !== turn)
+      .map(([other, otherTokens]) =>
+        create(ReservationSchema, { turn: other, tokens: otherTokens }),
+      );
     // What a turn used is never more than what was reserved for it, so the lower value is newer.
     kept.reservations.set(turn, Math.min(tokens, known ?? tokens));
-    return earlier;
+    return others;
   }
 
   /** Replaces the reservation of a turn by what it used. */
--- a/packages/turns/src/restoration.ts
+++ b/packages/turns/src/restoration.ts
@@ -1,7 +1,7 @@
 import type { Hash } from '@marjorampin/membership';
 import type {
   Keeper,
-  PeerPool,
+  Peers,
   ProgramCopy,
   ProgramPage,
   Roster,
@@ -25,7 +25,7 @@
   /** Losses that have happened: its own disk, and keepers that left the roster since it was last
    * restored. What they held may be left in fewer places. */
   losses: number;
-  peers: PeerPool;
+  peers: Peers;
   /** Takes in what another keeper holds of a program; returns the turns that are missing. */
   accept(copy: ProgramCopy): Promise<string[]>;
   /** Takes in turns. */
@@ -100,7 +100,7 @@
 }
 
 async function requestPage(
-  peers: PeerPool,
+  peers: Peers,
   source: Keeper,
   value: { roster: Roster; receiver: string; after: string },
 ): Promise<ProgramPage> {
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -2,7 +2,7 @@
 import type { Hash } from '@marjorampin/membership';
 import type {
   Keeper,
-  PeerPool,
+  Peers,
   Reply,
   RequestBody,
   Reservation,
@@ -43,7 +43,7 @@
 
 /** What the entries' side of the keepers needs. */
 export interface TurnStoreOptions {
-  peers: PeerPool;
+  peers: Peers;
   hash: Hash;
   lossLimit: number;
   /** Failure domain of this process; its keepers are asked first. */
@@ -71,7 +71,14 @@
 
   constructor(options: TurnStoreOptions) {
     this.options = options;
-    this.reach = new KeeperReach({ ...options, roster: () => this.roster });
+    const { clock, log, lossLimit, peers } = options;
+    this.reach = new KeeperReach({
+      clock,
+      log,
+      lossLimit,
+      roster: () => this.roster,
+      silentMs: ({ address }) => peers.get(address).silentMs,
+    });
     this.cache = new TurnCache(options.cacheBytes ?? CACHE_BYTES);
   }
 
@@ -200,7 +207,7 @@
     const outcomes = roster.keepers.map(async ({ address }) => {
       const reply = await peers
         .get(address)
-        .call({ case: 'readTurns', value }, { signal: AbortSignal.timeout(QUORUM_TIMEOUT_MS) });
+        .call({ case: 'readTurns', value }, { progressTimeoutMs: QUORUM_TIMEOUT_MS });
       if (reply.body.case === 'newerRoster') this.adopt(reply.body.value);
       if (reply.body.case !== 'turnChain') throw keepersUnavailable('the roster changes');
       const { records, complete } = reply.body.value;
@@ -269,13 +276,14 @@
     bodyFor: (index: number) => Versioned,
     isWanted: (reply: Reply) => boolean,
   ): Promise<Reply[]> {
-    const { peers, hash, lossLimit } = this.options;
+    const { peers, hash, lossLimit, clock } = this.options;
     const group = this.nearestFirst(groupOf(roster, program, { lossLimit, hash }));
     return askQuorum({
       group,
       needed: quorumSize(group.length),
       hedgeMs: HEDGE_MS,
       timeoutMs: QUORUM_TIMEOUT_MS,
+      clock,
       ask: async (keeper, index) => {
         const body = bodyFor(index)(roster.version);
         const reply = await peers
--- a/packages/types/src/clock.ts
+++ b/packages/types/src/clock.ts
@@ -10,6 +10,17 @@
 
   /** Resolves after `ms` milliseconds, or rejects when `signal` aborts. */
   abstract sleep(ms: number, signal?: AbortSignal): Promise<void>;
+
+  /** Calls back after `ms` milliseconds unless the returned function is called before. */
+  after(ms: number, callback: () => void): () => void {
+    let isCancelled = false;
+    this.sleep(ms).then(() => {
+      if (!isCancelled) callback();
+    });
+    return () => {
+      isCancelled = true;
+    };
+  }
 }
 
 /** The clock of the machine. */
@@ -25,6 +36,11 @@
   override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
     await delay(ms, undefined, { signal });
   }
+
+  override after(ms: number, callback: () => void): () => void {
+    const timer = setTimeout(callback, ms);
+    return () => clearTimeout(timer);
+  }
 }
 
 /** A clock that moves only when `advance` is called. */
