Silence of a keeper is read from its stream; messages are not compressed

Change: a stream knows when its peer was heard last; KeeperReach judges by that and sends nothing. A heartbeat is left out when another frame left within the last quarter second. A keeper sends one when a stream opens. An own pause is no silence of others. No compression between own processes.

--- a/packages/protocol/src/peerChannel.ts
+++ b/packages/protocol/src/peerChannel.ts
@@ -22,6 +22,13 @@
 /** Time between two heartbeats on a stream. */
 export const HEARTBEAT_INTERVAL_MS = 500;
 
+/** A frame within this time before a heartbeat is due takes its place: no stream is silent for
+ * longer than the sum of both. */
+const RECENT_FRAME_MS = 250;
+
+/** Messages are a few kilobytes and links are fast: compression costs more than it saves. */
+export const WITHOUT_COMPRESSION = { acceptCompression: [] };
+
 /** A stream without any frame for this long is given up. */
 export const SILENCE_LIMIT_MS = 2_000;
 
@@ -91,6 +98,10 @@
 
   private lastReceivedMs: number;
 
+  private lastSentMs = -Infinity;
+
+  private wasHeard = false;
+
   private heartbeats = 0;
 
   private closedBy: CallError | undefined;
@@ -106,6 +117,11 @@
     return this.closedBy !== undefined;
   }
 
+  /** Time of the clock at which a frame came last; undefined before the first. */
+  get heardAtMs(): number | undefined {
+    return this.wasHeard ? this.lastReceivedMs : undefined;
+  }
+
   /** Sends a request and resolves with its answer. */
   call(body: RequestBody, options: CallOptions = {}): Promise<Reply> {
     if (this.closedBy) return Promise.reject(this.lost('not-run'));
@@ -145,18 +161,18 @@
   receive(batch: Batch): void {
     if (this.closedBy) return;
     this.lastReceivedMs = this.clock.now();
+    this.wasHeard = true;
     batch.frames.forEach((frame) => this.receiveFrame(frame));
   }
 
-  /** Sends a heartbeat, gives up stalled calls, and closes a silent stream. */
+  /** Sends a heartbeat if nothing else was sent, gives up stalled calls, closes a silent stream. */
   tick(): void {
     const now = this.clock.now();
     if (now - this.lastReceivedMs > SILENCE_LIMIT_MS) {
       this.close(`nothing was received for ${SILENCE_LIMIT_MS} ms`);
       return;
     }
-    this.heartbeats += 1;
-    this.push({ call: 0, body: { case: 'heartbeat', value: { sequence: this.heartbeats } } });
+    if (now - this.lastSentMs > RECENT_FRAME_MS) this.sendHeartbeat();
     [...this.calls].forEach(([number, call]) => {
       if (now - call.lastProgressMs <= call.progressTimeoutMs) return;
       this.abandon(number, this.stalled(call.progressTimeoutMs));
@@ -242,7 +258,13 @@
     return call;
   }
 
+  private sendHeartbeat(): void {
+    this.heartbeats += 1;
+    this.push({ call: 0, body: { case: 'heartbeat', value: { sequence: this.heartbeats } } });
+  }
+
   private push(frame: MessageInitShape<typeof FrameSchema>): void {
+    this.lastSentMs = this.clock.now();
     this.outgoing.push(create(FrameSchema, frame));
   }
 
--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -7,6 +7,7 @@
   HEARTBEAT_INTERVAL_MS,
   PeerChannel,
   type PeerHandler,
+  WITHOUT_COMPRESSION,
 } from './peerChannel';
 import { readTlsFiles, type TlsFiles } from './tlsFiles';
 
@@ -28,14 +29,23 @@
 
   private channel: PeerChannel;
 
+  /** When the peer was heard last on an earlier stream. */
+  private heardBeforeMs: number;
+
   private readonly stopped = new AbortController();
 
   constructor(options: PeerClientOptions) {
     this.options = options;
+    this.heardBeforeMs = options.clock.now();
     this.channel = this.openChannel();
     this.run();
   }
 
+  /** Milliseconds since the peer was heard last, on any stream; counted from the start at first. */
+  get silentMs(): number {
+    return this.options.clock.now() - (this.channel.heardAtMs ?? this.heardBeforeMs);
+  }
+
   /** Sends a request on the present stream; fails at once while there is none. */
   call(body: Parameters<PeerChannel['call']>[0], options: CallOptions = {}): Promise<Reply> {
     if (this.stopped.signal.aborted) return Promise.reject(this.closedError());
@@ -60,6 +70,7 @@
       const startedMs = clock.now();
       await this.runStream(this.channel);
       if (this.stopped.signal.aborted) return;
+      this.heardBeforeMs = this.channel.heardAtMs ?? this.heardBeforeMs;
       this.channel = this.openChannel();
       const wasStable = clock.now() - startedMs > LONGEST_BACKOFF_MS;
       backoffMs = wasStable ? FIRST_BACKOFF_MS : Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
@@ -75,7 +86,7 @@
     const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
     const secrets = tls ? readTlsFiles(tls) : undefined;
     const sessionManager = new Http2SessionManager(baseUrl, {}, secrets);
-    const transport = createGrpcTransport({ baseUrl, sessionManager });
+    const transport = createGrpcTransport({ baseUrl, sessionManager, ...WITHOUT_COMPRESSION });
     const controller = new AbortController();
     const heartbeat = setInterval(() => {
       channel.tick();
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -3,7 +3,12 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { Clock, PeerAddress } from '@marjorampin/types';
 import { type Batch, Peer } from './gen/peer_pb';
-import { HEARTBEAT_INTERVAL_MS, PeerChannel, type PeerHandler } from './peerChannel';
+import {
+  HEARTBEAT_INTERVAL_MS,
+  PeerChannel,
+  type PeerHandler,
+  WITHOUT_COMPRESSION,
+} from './peerChannel';
 import { readTlsFiles, type TlsFiles } from './tlsFiles';
 
 /** Bounds a batch before it is parsed. */
@@ -37,6 +42,7 @@
     const listener = connectNodeAdapter({
       routes: (router) => router.service(Peer, { exchange: (batches) => this.exchange(batches) }),
       readMaxBytes: MAXIMUM_MESSAGE_BYTES,
+      ...WITHOUT_COMPRESSION,
     });
     this.server = options.tls
       ? http2.createSecureServer({ ...readTlsFiles(options.tls), requestCert: true }, listener)
@@ -90,6 +96,8 @@
     const { handler, clock } = this.options;
     const channel = new PeerChannel({ handler, clock, peer: 'a connected peer' });
     this.channels.add(channel);
+    // Tells the peer at once that this process answers.
+    channel.tick();
     receiveAll(channel, batches);
     try {
       yield* channel.outgoing;
--- a/packages/turns/src/keeperReach.ts
+++ b/packages/turns/src/keeperReach.ts
@@ -1,32 +1,33 @@
 import type { EventLog } from '@marjorampin/logging';
-import type { Keeper, PeerPool, Roster } from '@marjorampin/protocol';
+import type { Keeper, Roster } from '@marjorampin/protocol';
 import type { Clock } from '@marjorampin/types';
 
-/** Time between two rounds of probes. */
+/** Time between two rounds of judgement. */
 const ROUND_MS = 400;
-/** Far above a round trip, and short enough to notice a cut within a second. */
-const PROBE_TIMEOUT_MS = 300;
-/** A single lost probe says nothing yet. */
-const MISSES_ALLOWED = 1;
+/** Above the longest pause between two frames of a living peer, which is 750 ms. */
+const SILENT_AFTER_MS = 1_000;
 
 /** What is needed to watch the way to the keepers. */
 export interface KeeperReachOptions {
-  peers: PeerPool;
   clock: Clock;
   log: EventLog;
   lossLimit: number;
   /** Returns the keepers as they are known now. */
   roster(): Roster | undefined;
+  /** Returns the milliseconds since a keeper was heard last. */
+  silentMs(keeper: Keeper): number;
 }
 
 /** Knows whether this process reaches enough keepers to serve turns at all. */
 export class KeeperReach {
   private readonly options: KeeperReachOptions;
 
-  private readonly misses = new Map<string, number>();
-
   private readonly stopped = new AbortController();
 
+  private silent = new Set<string>();
+
+  private judgedAtMs = -Infinity;
+
   private isCut = false;
 
   constructor(options: KeeperReachOptions) {
@@ -38,50 +39,39 @@
     return this.isCut;
   }
 
-  /** Returns whether a keeper left its last probe unanswered. */
+  /** Returns whether a keeper was silent when it was looked at last. */
   isSilent(id: string): boolean {
-    return (this.misses.get(id) ?? 0) > 0;
+    return this.silent.has(id);
   }
 
-  /** Probes until `stop`. */
+  /** Judges until `stop`. */
   async run(): Promise<void> {
     const { clock } = this.options;
     while (!this.stopped.signal.aborted) {
-      await this.round();
+      this.judge();
       await clock.sleep(ROUND_MS, this.stopped.signal).catch(() => undefined);
     }
   }
 
-  /** Ends the probes. */
+  /** Ends the judgements. */
   stop(): void {
     this.stopped.abort();
   }
 
-  /** Probes every keeper once and judges. */
-  async round(): Promise<void> {
-    const { roster, lossLimit, log } = this.options;
+  /** Looks at every keeper once. */
+  judge(): void {
+    const { roster, lossLimit, log, silentMs, clock } = this.options;
+    const lateMs = clock.now() - this.judgedAtMs - ROUND_MS;
+    this.judgedAtMs = clock.now();
+    // After a pause of its own, this process has not read yet what the keepers sent meanwhile.
+    if (lateMs > ROUND_MS && lateMs < Infinity) return;
     const keepers = roster()?.keepers ?? [];
-    await Promise.all(keepers.map((keeper) => this.probe(keeper)));
-    const silent = keepers.filter(({ id }) => (this.misses.get(id) ?? 0) > MISSES_ALLOWED);
+    const silent = keepers.filter((keeper) => silentMs(keeper) > SILENT_AFTER_MS);
+    this.silent = new Set(silent.map(({ id }) => id));
     const isCut = silent.length > lossLimit;
     if (isCut !== this.isCut) {
       log.write(isCut ? 'keepersLost' : 'keepersRegained', { silent: silent.length });
     }
     this.isCut = isCut;
   }
-
-  private async probe({ id, address }: Keeper): Promise<void> {
-    const body = { case: 'probe' as const, value: { sender: '' } };
-    const controller = new AbortController();
-    const timer = setTimeout(() => controller.abort(), PROBE_TIMEOUT_MS);
-    const hasAnswered = await this.options.peers
-      .get(address)
-      .call(body, { signal: controller.signal })
-      .then(
-        () => true,
-        () => false,
-      );
-    clearTimeout(timer);
-    this.misses.set(id, hasAnswered ? 0 : (this.misses.get(id) ?? 0) + 1);
-  }
 }
