--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -42,15 +42,17 @@
   /** Resolves with what `take` made of the first usable answer. */
   async run<T>(request: CallerRequest, terms: AttemptTerms, take: AnswerTaker<T>): Promise<T> {
     const { route } = request;
+    // An unknown outcome ends the program of a call that may not be repeated by anyone.
+    const mayReuseConnection = route.kind !== 'non-idempotent';
     const tried = new Set<string>();
     let sends = 0;
     let connectionFailures = 0;
     while (true) {
-      const endpoint = this.options.choice.choose({ ...terms, tried });
+      const endpoint = this.options.choice.choose({ ...terms, tried, mayReuseConnection });
       if (!endpoint) throw noEndpoint(terms.service, tried.size);
       tried.add(endpoint.id);
       try {
-        return await this.send(request, terms, endpoint, take);
+        return await this.send(request, { ...terms, mayReuseConnection }, endpoint, take);
       } catch (error) {
         const failure = toCallError(error);
         const wasSent = failure.kind !== 'endpoint-failed' || failure.execution !== 'not-run';
@@ -69,7 +71,7 @@
 
   private async send<T>(
     request: CallerRequest,
-    { body, service }: AttemptTerms,
+    { body, service, mayReuseConnection }: AttemptTerms & { mayReuseConnection: boolean },
     endpoint: Endpoint,
     take: AnswerTaker<T>,
   ): Promise<T> {
@@ -94,8 +96,7 @@
           body,
           requestId: terms.requestId,
           signal,
-          // An unknown outcome ends the program of a call that may not be repeated by anyone.
-          mayReuseConnection: route.kind !== 'non-idempotent',
+          mayReuseConnection,
         },
         dialect,
       );
--- a/packages/gateway/src/endpointChoice.ts
+++ b/packages/gateway/src/endpointChoice.ts
@@ -1,11 +1,13 @@
 import {
   chooseEndpoint,
   type ChoiceOptions,
+  type ChoiceRequest,
   EndpointDirectory,
   type EndpointView,
 } from '@marjorampin/routing';
 import type { Clock, Endpoint } from '@marjorampin/types';
 import type { AnswerTerms } from './dialect';
+import { hasIdleConnection } from './endpointExchange';
 
 /** A report of load says nothing about an engine any more after this long: most calls are over. */
 const LOAD_LIFETIME_MS = 500;
@@ -23,6 +25,8 @@
   contextTokens: number;
   /** Endpoints that were tried already. */
   tried: Set<string>;
+  /** The call may use a connection that an earlier one has left. */
+  mayReuseConnection: boolean;
 }
 
 /** Costs of a choice between engines, in milliseconds. */
@@ -58,7 +62,8 @@
   }
 
   /** Returns the endpoint with the lowest expected cost, or undefined when none can be had. */
-  choose({ service, warmEndpoint, contextTokens, tried }: EndpointWish): Endpoint | undefined {
+  choose(wish: EndpointWish): Endpoint | undefined {
+    const { service, warmEndpoint, contextTokens, tried, mayReuseConnection } = wish;
     const views = this.directory
       .available(service)
       .filter(({ endpoint }) => !tried.has(endpoint.id))
@@ -68,7 +73,13 @@
       .map((view) => ({ view, order: this.random() }))
       .sort((a, b) => a.order - b.order)
       .map(({ view }) => view);
-    const request = { warmEndpoint, contextTokens, wastedCachePriceMs: 0, domain: this.domain };
+    const request: ChoiceRequest = {
+      warmEndpoint,
+      contextTokens,
+      wastedCachePriceMs: 0,
+      domain: this.domain,
+    };
+    if (mayReuseConnection) request.connected = connectedOf(views);
     return chooseEndpoint(shuffled, request, ENGINE_CHOICE)?.endpoint;
   }
 
@@ -98,3 +109,8 @@
     return { ...view, load, sentSinceReport: 0 };
   }
 }
+
+function connectedOf(views: EndpointView[]): Set<string> {
+  const endpoints = views.map(({ endpoint }) => endpoint);
+  return new Set(endpoints.filter(hasIdleConnection).map(({ id }) => id));
+}
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -30,6 +30,13 @@
   scheduling: 'lifo',
 });
 
+/** Returns whether a connection to an endpoint is open that no call uses. */
+export function hasIdleConnection({ address }: Endpoint): boolean {
+  // The agent's name for the connections of an address without TLS.
+  const idle = keptConnections.freeSockets[`${address}:`];
+  return idle !== undefined && idle.length > 0;
+}
+
 /** The beginning of an endpoint's answer; the body follows in `message`. */
 export interface EndpointAnswer {
   status: number;
--- a/packages/routing/src/chooseEndpoint.ts
+++ b/packages/routing/src/chooseEndpoint.ts
@@ -10,6 +10,8 @@
   wastedCachePriceMs: number;
   /** Failure domain of the caller's entry; undefined where distance does not matter. */
   domain?: string;
+  /** Endpoints to which an idle connection that the call may use is open. */
+  connected?: Set<string>;
 }
 
 /** Parts of the choice, each of which an ablation can leave out. */
@@ -36,6 +38,8 @@
 
 /** What crossing to another failure domain and back costs a call. */
 const OTHER_DOMAIN_MS = 3;
+/** What a new connection costs a call: a round trip between domains and its acceptance. */
+const NEW_CONNECTION_MS = 2;
 
 /** A program leaves its warm endpoint only for one that is better by this share. */
 const HYSTERESIS = 0.85;
@@ -72,8 +76,10 @@
   } = options;
   const slowerMs = Math.max(0, view.msPerToken - fastestMsPerToken);
   const isFar = request.domain !== undefined && request.domain !== view.endpoint.domain;
+  const isNew = request.connected !== undefined && !request.connected.has(view.endpoint.id);
   const waitMs =
     expectedWaitMs(view, options) +
+    (isNew ? NEW_CONNECTION_MS : 0) +
     (usesSpeed ? slowerMs * expectedOutputTokens : 0) +
     (isFar ? OTHER_DOMAIN_MS : 0);
   if (!usesAffinity) return waitMs;
