--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import { CallError, type Clock } from '@marjorampin/types';
 import type { CallerLimits, Route } from '@marjorampin/routing';
+import type { CallTrace } from './callTrace';
 import type { CallTerms } from './dialect';
 
 /** One call of a caller while it is handled. */
@@ -10,6 +11,7 @@
   route: Route;
   terms: CallTerms;
   body: Buffer;
+  trace: CallTrace;
   /** Time of the clock until which the caller is kept waiting. */
   deadlineMs: number;
   /** Aborts when the caller leaves or the deadline passes. */
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -18,6 +18,8 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
+  /** Milliseconds since the list of endpoints was certainly the newest one. */
+  listAgeMs(): number;
 }
 
 /** What is sent, and to whom rather. */
@@ -51,6 +53,7 @@
       const endpoint = this.options.choice.choose({ ...terms, tried, mayReuseConnection });
       if (!endpoint) throw noEndpoint(terms.service, tried.size);
       tried.add(endpoint.id);
+      this.trace(request, endpoint);
       try {
         return await this.send(request, { ...terms, mayReuseConnection }, endpoint, take);
       } catch (error) {
@@ -69,6 +72,16 @@
     }
   }
 
+  private trace({ trace }: CallerRequest, { id }: Endpoint): void {
+    const { choice, clock, listAgeMs } = this.options;
+    const reportedAtMs = choice.directory.get(id)?.reportedAtMs;
+    trace.chose({
+      endpoint: id,
+      loadAgeMs: reportedAtMs && Math.round(clock.now() - reportedAtMs),
+      listAgeMs: Math.round(listAgeMs()),
+    });
+  }
+
   private async send<T>(
     request: CallerRequest,
     { body, service, mayReuseConnection }: AttemptTerms & { mayReuseConnection: boolean },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 } from '@marjorampin/types';
 import { CallForwarder } from './callForwarder';
 import { type CallerRequest, readCallerBody } from './callerRequest';
+import { CallTrace } from './callTrace';
 import { trackCaller } from './callerSignal';
 import type { Dialect } from './dialect';
 import { EndpointAttempts } from './endpointAttempts';
@@ -67,6 +68,14 @@
   configurationAgeMs(): number;
 }
 
+/** A request and what its line in the log needs. */
+interface ServedRequest {
+  requestId: string | undefined;
+  response: http.ServerResponse;
+  trace: CallTrace;
+  startedMs: number;
+}
+
 /** Takes callers' requests, forwards them to endpoints and answers. */
 export class Gateway {
   private readonly options: GatewayOptions;
@@ -98,7 +107,15 @@
     const { clock, domain, dialect, log, metrics, turns } = options;
     this.lag = new LoopLag({ clock });
     this.choice = new EndpointChoice({ clock, domain });
-    const attempts = new EndpointAttempts({ choice: this.choice, dialect, clock, log, metrics });
+    const { configurationAgeMs: listAgeMs } = options;
+    const attempts = new EndpointAttempts({
+      choice: this.choice,
+      dialect,
+      clock,
+      log,
+      metrics,
+      listAgeMs,
+    });
     this.calls = new CallForwarder({ attempts, dialect });
     this.turns = new TurnForwarder({ attempts, dialect, turns });
     this.server = this.createServer();
@@ -205,13 +222,15 @@
     if (!this.isRefusing) this.lastRequestAtMs = clock.now();
     if (this.isStopping) response.shouldKeepAlive = false;
     const startedMs = clock.now();
+    const trace = new CallTrace();
+    const served = { requestId, response, trace, startedMs };
     try {
-      await this.handle(message, response, startedMs);
-      this.note(requestId, response, 'answered', startedMs);
+      await this.handle(message, response, startedMs, trace);
+      this.note(served, 'answered');
     } catch (error) {
       const failure = toCallError(error);
       this.answerError(message, response, failure, requestId);
-      this.note(requestId, response, failure.kind, startedMs, failure);
+      this.note(served, failure.kind, failure);
     } finally {
       this.active -= 1;
       metrics.observe('gateway_request', {}, clock.now() - startedMs);
@@ -222,6 +241,7 @@
     message: http.IncomingMessage,
     response: http.ServerResponse,
     arrivedAtMs: number,
+    trace: CallTrace,
   ): Promise<void> {
     const { dialect, clock } = this.options;
     const { table } = this;
@@ -237,6 +257,7 @@
     const target = message.url ?? '/';
     if (!target.startsWith('/')) throw badTarget(target);
     const terms = dialect.readCall(message.rawHeaders);
+    trace.belongsTo(terms.program?.id);
     const route = table.match(headerValue(message.rawHeaders, 'host') ?? '', target);
     if (!route) throw this.unknownRoute(target);
     const patienceMs = Math.min(terms.deadlineMs ?? Infinity, route.timeoutMs);
@@ -251,6 +272,7 @@
         route,
         terms,
         body,
+        trace,
         deadlineMs,
         signal,
       };
@@ -305,16 +327,15 @@
   }
 
   private note(
-    request: string | undefined,
-    response: http.ServerResponse,
+    { requestId, response, trace, startedMs }: ServedRequest,
     outcome: string,
-    startedMs: number,
     failure?: CallError,
   ): void {
     const { log, clock, metrics } = this.options;
     metrics.count('gateway_requests_total', { outcome });
     log.write(failure ? 'requestFailed' : 'requestAnswered', {
-      request,
+      request: requestId,
+      ...trace.fields,
       outcome,
       status: response.headersSent ? response.statusCode : undefined,
       ms: Math.round(clock.now() - startedMs),
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -73,6 +73,12 @@
     message: 'the platform store does not answer',
     remedy: 'Check the platform store; at-most-once calls are refused as not run meanwhile.',
   },
+  storeRegained: {
+    number: 301,
+    level: 'info',
+    message: 'the platform store answers again',
+    remedy: 'None needed.',
+  },
   outcomeUnknown: {
     number: 400,
     level: 'error',
