marjorampin explain tells the story of a request or program from log files

Cause: on-call engineers had to search the logs of all processes by hand.

Change: `explain ID FILE...` prints every line of the request or program, in order within each process (clocks of hosts differ, so lines of different processes are not merged by time), with what the process noted about its surroundings three seconds before and after, and the remedies of the events.

Test: explain.test.ts (lines of others, cut lines, prefixes of collectors).

--- /dev/null
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { storyOf } from '../explain/story';
+
+const line = (name: string, second: number, event: number, fields: Record<string, unknown>) =>
+  JSON.stringify({ name, time: `2026-12-04T10:00:0${second}.000Z`, event, ...fields });
+
+/** The clock of `e2` is two seconds ahead of that of `e1`. */
+const LOGS = [
+  [
+    line('e1', 1, 300, { reason: 'no answer' }),
+    line('e1', 2, 802, { request: 'r1', program: 'p1', outcome: 'not-configured' }),
+    line('e1', 3, 801, { request: 'r2', program: 'p2', outcome: 'answered' }),
+    'Warning: something else',
+    line('e1', 9, 301, { lostMs: 8_000 }),
+    '{"name":"e1","time":"2026-12-04T10:0',
+  ].join('\n'),
+  [
+    `host2 ${line('e2', 5, 804, { request: 'r3', program: 'p1', endpoint: 'x' })}`,
+    `host2 ${line('e2', 6, 802, { request: 'r3', program: 'p1', outcome: 'overloaded' })}`,
+  ].join('\n'),
+];
+
+/** Processes and numbers of the events that a story has, those of its surroundings with `~`. */
+const CASES = [
+  { id: 'r1', story: ['e1:', '~300', '802'] },
+  { id: 'r3', story: ['e2:', '804', '802'] },
+  { id: 'p1', story: ['e1:', '~300', '802', 'e2:', '804', '802'] },
+  { id: 'r9', story: [] },
+];
+
+CASES.forEach(({ id, story }) => {
+  test(`explanation of ${id}`, () => {
+    const told = storyOf(id, LOGS).flatMap((text) => {
+      const match = /^(\S+:)$|^ {2}([ ~]) \S+ (\d+)/.exec(text);
+      if (!match) return [];
+      return [match[1] ?? `${match[2]?.trim() ?? ''}${match[3]}`];
+    });
+    assert.deepEqual(told, story);
+  });
+});
--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -2,6 +2,7 @@
 import { applyContracts, printContract } from './commands/contract';
 import { runDemo } from './commands/demo';
 import { runDevelopment } from './commands/development';
+import { printExplanation } from './commands/explain';
 import { runAgent, runEntry } from './commands/processes';
 import { printReport } from './commands/report';
 import { checkSettings } from './commands/settings';
@@ -45,6 +46,11 @@
   add('demo', 'Play the example programs', runDemo).option('--examples <folder>', 'Examples', {
     default: 'examples',
   });
+  add(
+    'explain <id> [...files]',
+    'Tell the story of a request or program from the logs of several processes',
+    printExplanation,
+  );
   add('settings <action> <file>', 'check FILE: check the settings of a process', checkSettings);
   add(
     'contract <action> [customer]',
