--- a/packages/cli/src/explain/logLine.ts
+++ b/packages/cli/src/explain/logLine.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** One line of a process's log. */
 export interface LogLine {
--- a/packages/configuration/src/configurationSchema.ts
+++ b/packages/configuration/src/configurationSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[a-z0-9-]{1,64}$/, 'use 1 to 64 lower-case letters, digits or "-"');
 
--- a/packages/entry/src/administrationApi.ts
+++ b/packages/entry/src/administrationApi.ts
@@ -9,7 +9,7 @@
 import type { KeyValueStore, StoreError } from '@marjorampin/store';
 import { CallError, digestOf, toCallError } from '@marjorampin/types';
 import type { H3, H3Event } from 'h3';
-import { z } from 'zod';
+import * as z from 'zod';
 import { problemResponse } from './problemDetails';
 import { readJson } from './readJson';
 
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Longest text of one request, in characters. */
 export const MAXIMUM_REQUEST_CHARACTERS = 1_000_000;
--- a/packages/entry/src/openApi.ts
+++ b/packages/entry/src/openApi.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { CALL_SCHEMAS } from './calls';
 
 const PROGRAM_PARAMETER = {
--- a/packages/scripts/src/programScript.ts
+++ b/packages/scripts/src/programScript.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const modelStep = z.strictObject({
   call: z.literal('model'),
--- a/packages/settings/src/settingsSchema.ts
+++ b/packages/settings/src/settingsSchema.ts
@@ -1,5 +1,5 @@
 import { parsePeerAddress } from '@marjorampin/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const address = z
   .string()
--- a/packages/store/src/httpKeyValueStore.ts
+++ b/packages/store/src/httpKeyValueStore.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from '@marjorampin/types';
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   type Changes,
   type CompareAndSwap,
--- a/packages/turns/src/keeperState.ts
+++ b/packages/turns/src/keeperState.ts
@@ -1,7 +1,7 @@
 import { mkdir, open, readFile, rename } from 'node:fs/promises';
 import { join } from 'node:path';
 import { randomUUID } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import { syncFolder } from './durableLog';
 import { rosterSchema } from './rosterRecord';
 
--- a/packages/turns/src/rosterRecord.ts
+++ b/packages/turns/src/rosterRecord.ts
@@ -7,7 +7,7 @@
   type TokenedValue,
 } from '@marjorampin/store';
 import type { Result } from '@marjorampin/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Key of the roster in the platform's store. */
 export const ROSTER_KEY = 'marjorampin/keepers';
