--- a/packages/turns/src/__tests__/simulatedKeepers.ts
+++ b/packages/turns/src/__tests__/simulatedKeepers.ts
@@ -301,7 +301,7 @@
     const reply = create(ReplySchema, await handler.handle(create(RequestSchema, { body })));
     if (keeper.life !== life) throw lost();
     if (this.mutation === 'forgets what it reserved' && reply.body.case === 'reservations') {
-      reply.body.value.earlier = [];
+      reply.body.value.others = [];
     }
     return reply;
   }
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -156,12 +156,11 @@
     const { program, reservation, retentionMs, previous, wantsChain, rosterVersion } = request;
     if (!reservation) throw missing('reservation');
     // Whoever reserves next has to see this one, so memory comes before the disk.
-    const earlier = book.reserve(program, reservation, clock.now() + retentionMs);
+    const others = book.reserve(program, reservation, clock.now() + retentionMs);
     await this.write({ case: 'reservation', value: reservation }, program, retentionMs);
-    const knowsPrevious = previous !== '' && book.has(previous);
-    const chain = wantsChain && knowsPrevious ? book.chain(previous) : [];
+    const chain = wantsChain && previous !== '' ? book.chain(previous) : [];
     const complete = this.isCompleteFor(rosterVersion);
-    const value = { earlier, knowsPrevious, chain, complete };
+    const value = { others, chain, complete };
     return { body: { case: 'reservations', value } };
   }
 
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -334,7 +334,7 @@
 function othersOf(answers: Reservations[], own: string): Reservation[] {
   const byTurn = new Map<string, Reservation>();
   answers
-    .flatMap(({ earlier }) => earlier)
+    .flatMap(({ others }) => others)
     .forEach((each) => byTurn.set(each.turn, newestOf(each, byTurn.get(each.turn))));
   byTurn.delete(own);
   return [...byTurn.values()];
