--- a/packages/protocol/src/__tests__/peers.test.ts
+++ b/packages/protocol/src/__tests__/peers.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
-import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net';
 import { dirname, join } from 'node:path';
 import test, { type TestContext } from 'node:test';
 import { fileURLToPath } from 'node:url';
+import { LinkProxy } from '@marjorampin/standins';
 import { SystemClock, toCallError } from '@marjorampin/types';
 import type { Reply } from '../gen/peer_pb';
 import { PeerClient } from '../peerClient';
@@ -33,45 +33,6 @@
   }
 }
 
-/** Passes bytes on until it is frozen; then it keeps connections open and passes nothing. */
-class FreezableLink {
-  private readonly server: Server;
-
-  private readonly sockets: Socket[] = [];
-
-  constructor(target: number) {
-    this.server = createServer((near) => {
-      const far = connect(target, '127.0.0.1');
-      this.sockets.push(near, far);
-      near.on('data', (bytes) => far.write(bytes));
-      far.on('data', (bytes) => near.write(bytes));
-      [near, far].forEach((socket) => socket.on('error', () => socket.destroy()));
-    });
-  }
-
-  async listen(): Promise<number> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
-    return (this.server.address() as AddressInfo).port;
-  }
-
-  /** Freezes the connections of this moment; new ones work. */
-  freeze(): void {
-    const frozen = [...this.sockets];
-    this.sockets.length = 0;
-    frozen.forEach((socket) => {
-      socket.removeAllListeners('data');
-      socket.pause();
-    });
-  }
-
-  close(): void {
-    this.server.close();
-    this.sockets.forEach((socket) => socket.destroy());
-  }
-}
-
 async function startServer(context: TestContext, tls?: TlsFiles) {
   const handler = new Acknowledging();
   const clock = new SystemClock();
@@ -126,9 +87,9 @@
 
 test('a link that went silent for good is given up, and a new one is used', async (context) => {
   const { port } = await startServer(context);
-  const link = new FreezableLink(port);
+  const link = new LinkProxy({ ...LOOPBACK, port });
   context.after(() => link.close());
-  const client = createClient(context, await link.listen());
+  const client = createClient(context, (await link.listen(LOOPBACK)).port);
   await client.call(PROBE);
   link.freeze();
   const error = await client.call(PROBE).catch(toCallError);
--- a/packages/standins/src/engineStandin.ts
+++ b/packages/standins/src/engineStandin.ts
@@ -1,7 +1,7 @@
 import { type H3, type H3Event, readBody } from 'h3';
 import { SystemClock } from '@marjorampin/types';
 import { type EngineFaults, EngineModel, type Generation } from './engineModel';
-import { HttpStandin } from './httpStandin';
+import { RoutedStandin } from './httpStandin';
 
 /** An order to an engine, numbered so that an old one can be refused. */
 export interface EngineOrder {
@@ -22,7 +22,7 @@
 type GenerationBody = Omit<Generation, 'onText'>;
 
 /** A model engine over HTTP. */
-export class EngineStandin extends HttpStandin {
+export class EngineStandin extends RoutedStandin {
   readonly model: EngineModel;
 
   readonly orders: EngineOrder[] = [];
--- a/packages/standins/src/httpStandin.ts
+++ b/packages/standins/src/httpStandin.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from 'node:http';
+import { createServer, type RequestListener, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { H3, toNodeHandler } from 'h3';
 import type { PeerAddress } from '@marjorampin/types';
@@ -7,14 +7,12 @@
 export abstract class HttpStandin {
   private server: Server | undefined;
 
-  /** Adds the routes of the system. */
-  protected abstract addRoutes(app: H3): void;
+  /** Makes what answers the requests. */
+  protected abstract createListener(): RequestListener;
 
   /** Starts to listen; port 0 takes a free one. */
   async listen({ host, port }: PeerAddress): Promise<PeerAddress> {
-    const app = new H3();
-    this.addRoutes(app);
-    const server = createServer(toNodeHandler(app));
+    const server = createServer(this.createListener());
     this.server = server;
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -34,3 +32,15 @@
     await closed;
   }
 }
+
+/** A stand-in whose answers follow from the route alone. */
+export abstract class RoutedStandin extends HttpStandin {
+  /** Adds the routes of the system. */
+  protected abstract addRoutes(app: H3): void;
+
+  protected override createListener(): RequestListener {
+    const app = new H3();
+    this.addRoutes(app);
+    return toNodeHandler(app);
+  }
+}
--- a/platform/src/soak/linkProxy.ts
+++ b/packages/standins/src/linkProxy.ts
@@ -1,4 +1,7 @@
 import net from 'node:net';
+import { type PeerAddress, SystemClock } from '@marjorampin/types';
+
+const clock = new SystemClock();
 
 /** Passes connections on, or does to them what networks do. */
 export class LinkProxy {
@@ -9,19 +12,20 @@
 
   private readonly sockets = new Set<net.Socket>();
 
-  private readonly target: { host: string; port: number };
+  private readonly target: PeerAddress;
 
   private readonly server = net.createServer((near) => this.join(near));
 
-  constructor(target: { host: string; port: number }) {
+  constructor(target: PeerAddress) {
     this.target = target;
   }
 
-  /** Starts to listen. */
-  async listen(host: string, port: number): Promise<void> {
+  /** Starts to listen; port 0 takes a free one. */
+  async listen({ host, port }: PeerAddress): Promise<PeerAddress> {
     await new Promise<void>((resolve) => {
       this.server.listen(port, host, resolve);
     });
+    return { host, port: (this.server.address() as net.AddressInfo).port };
   }
 
   /** Stops at once. */
@@ -41,6 +45,14 @@
     this.mode = mode;
   }
 
+  /** Silences the connections of this moment for good; new ones pass. */
+  freeze(): void {
+    this.sockets.forEach((socket) => {
+      socket.removeAllListeners('data');
+      socket.pause();
+    });
+  }
+
   /** Delays what passes. */
   slow(ms: number): void {
     this.delayMs = ms;
@@ -62,13 +74,20 @@
   private pass(from: net.Socket, to: net.Socket, isOpen: () => boolean): void {
     this.sockets.add(from);
     from.setNoDelay(true);
+    // What comes later waits for what was delayed, so that nothing overtakes.
+    let passed = Promise.resolve();
+    const passLater = (act: () => void) => {
+      const { delayMs } = this;
+      passed = passed.then(() => (delayMs > 0 ? clock.sleep(delayMs) : undefined)).then(act);
+    };
     from.on('data', (bytes) => {
       if (!isOpen()) return;
-      if (this.delayMs === 0) to.write(bytes);
-      else setTimeout(() => to.destroyed || to.write(bytes), this.delayMs);
+      passLater(() => {
+        if (!to.destroyed) to.write(bytes);
+      });
     });
     from.on('error', () => to.resetAndDestroy());
-    from.on('end', () => setTimeout(() => to.end(), this.delayMs));
+    from.on('end', () => passLater(() => to.end()));
     from.on('close', () => {
       this.sockets.delete(from);
       to.destroySoon();
--- a/packages/standins/src/platformStandin.ts
+++ b/packages/standins/src/platformStandin.ts
@@ -6,12 +6,12 @@
   type StoreError,
   type StoreFaults,
 } from '@marjorampin/store';
-import { HttpStandin } from './httpStandin';
+import { RoutedStandin } from './httpStandin';
 
 const STATUS = { conflict: 409, unavailable: 503, ambiguous: 500 } as const;
 
 /** The platform's key-value service and host list over HTTP. */
-export class PlatformStandin extends HttpStandin {
+export class PlatformStandin extends RoutedStandin {
   readonly store = new MemoryKeyValueStore();
 
   protected override addRoutes(app: H3): void {
--- a/packages/standins/src/serviceStandin.ts
+++ b/packages/standins/src/serviceStandin.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { type H3, type H3Event, readBody } from 'h3';
-import { HttpStandin } from './httpStandin';
+import { RoutedStandin } from './httpStandin';
 
 const HANG_MS = 3_600_000;
 
@@ -14,7 +14,7 @@
 }
 
 /** A plain service that counts executions per key, so that a repeated one shows. */
-export class ServiceStandin extends HttpStandin {
+export class ServiceStandin extends RoutedStandin {
   readonly faults: ServiceFaults = { delayMs: 0, hang: false, failAfter: false };
 
   readonly executions = new Map<string, number>();
