--- a/packages/entry/src/__tests__/atMostOnce.test.ts
+++ b/packages/entry/src/__tests__/atMostOnce.test.ts
@@ -13,6 +13,7 @@
   toCallError,
 } from '@marjorampin/types';
 import fc from 'fast-check';
+import { ScheduledClock } from '@marjorampin/standins';
 import { BudgetAccount } from '../budgetAccount';
 import { serviceSchema as serviceCallSchema } from '../calls';
 import { Endpoints } from '../endpointDispatcher';
@@ -25,7 +26,6 @@
   fatesArbitrary,
   openLedger,
   PROPERTY,
-  ScheduledClock,
   ScheduledStore,
 } from './scheduledFakes';
 
--- a/packages/entry/src/__tests__/budget.test.ts
+++ b/packages/entry/src/__tests__/budget.test.ts
@@ -2,16 +2,10 @@
 import test from 'node:test';
 import { toCallError } from '@marjorampin/types';
 import fc from 'fast-check';
+import { ScheduledClock } from '@marjorampin/standins';
 import { BudgetAccount, budgetKey } from '../budgetAccount';
 import type { Ledger } from '../ledgerClient';
-import {
-  fatesArbitrary,
-  Fates,
-  openLedger,
-  PROPERTY,
-  ScheduledClock,
-  ScheduledStore,
-} from './scheduledFakes';
+import { fatesArbitrary, Fates, openLedger, PROPERTY, ScheduledStore } from './scheduledFakes';
 
 const PROGRAM = 'customer.0007.0123456789abcdef01234567';
 const GRANTED = 80;
--- a/packages/entry/src/__tests__/scheduledFakes.ts
+++ b/packages/entry/src/__tests__/scheduledFakes.ts
@@ -9,15 +9,13 @@
   type StoredValue,
   StoreError,
 } from '@marjorampin/store';
-import { type CallError, Clock, Err, type Result } from '@marjorampin/types';
+import { type CallError, type Clock, Err, type Result } from '@marjorampin/types';
+import { propertyRuns } from '@marjorampin/standins';
 import fc from 'fast-check';
 import { Ledger } from '../ledgerClient';
 
-/** Seed and number of runs; CI uses the defaults. */
-export const PROPERTY = {
-  seed: Number(process.env.FAST_CHECK_SEED ?? 20261204),
-  numRuns: Number(process.env.FAST_CHECK_RUNS ?? 1_200),
-};
+/** Seed and number of runs of the properties of entries. */
+export const PROPERTY = propertyRuns(1_200);
 
 /** Fates of messages and writes, most of them good. */
 export const fatesArbitrary = fc.array(
@@ -41,30 +39,6 @@
   }
 }
 
-export class ScheduledClock extends Clock {
-  private timeMs = 0;
-
-  private readonly scheduler: fc.Scheduler;
-
-  constructor(scheduler: fc.Scheduler) {
-    super();
-    this.scheduler = scheduler;
-  }
-
-  override now(): number {
-    return this.timeMs;
-  }
-
-  override wallTime(): number {
-    return this.timeMs;
-  }
-
-  override async sleep(ms: number): Promise<void> {
-    await this.scheduler.schedule(Promise.resolve());
-    this.timeMs += ms;
-  }
-}
-
 /** A store whose requests are interleaved, refused, or lose their answers. */
 export class ScheduledStore extends KeyValueStore {
   private readonly store = new MemoryKeyValueStore();
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -5,4 +5,6 @@
 export * from './linkProxy';
 export * from './platformStandin';
 export * from './prefixCache';
+export * from './propertyRuns';
+export * from './scheduledClock';
 export * from './serviceStandin';
--- a/packages/turns/src/__tests__/keeperProperty.ts
+++ b/packages/turns/src/__tests__/keeperProperty.ts
@@ -4,16 +4,14 @@
 import { MemoryEventLog } from '@marjorampin/logging';
 import { loadHash } from '@marjorampin/membership';
 import { TurnRecordSchema } from '@marjorampin/protocol';
+import { ScheduledClock } from '@marjorampin/standins';
 import { ManualClock, toCallError } from '@marjorampin/types';
 import fc from 'fast-check';
 import { TurnStore, type TurnReservation } from '../turnStore';
-import {
-  type Fate,
-  KEEPERS,
-  type Mutation,
-  ScheduledClock,
-  SimulatedKeepers,
-} from './simulatedKeepers';
+import { type Fate, KEEPERS, type Mutation, SimulatedKeepers } from './simulatedKeepers';
+
+/** A message takes a few steps, so that most are faster than most timeouts. */
+const STEP_MS = 40;
 
 const PROGRAM = 'p';
 const BUDGET = 40;
@@ -77,7 +75,7 @@
   fates: Fate[],
   mutation: Mutation,
 ): Promise<void> {
-  const clock = new ScheduledClock(scheduler);
+  const clock = new ScheduledClock(scheduler, { stepMs: STEP_MS });
   const keepers = new SimulatedKeepers({ clock, hash, mutation, scheduler, fates });
   const log = new MemoryEventLog();
   const stores = ENTRIES.map((side) => {
--- a/packages/turns/src/__tests__/keeperProtocol.test.ts
+++ b/packages/turns/src/__tests__/keeperProtocol.test.ts
@@ -2,17 +2,17 @@
 import { once } from 'node:events';
 import test from 'node:test';
 import { Worker } from 'node:worker_threads';
+import { propertyRuns } from '@marjorampin/standins';
 import type { PropertyOrder, PropertyOutcome } from './keeperPropertyWorker';
 import type { Mutation } from './simulatedKeepers';
 
-/** CI uses the defaults; `FAST_CHECK_RUNS=10000` is the long run. */
-const SEED = Number(process.env.FAST_CHECK_SEED ?? 20261204);
-const RUNS = Number(process.env.FAST_CHECK_RUNS ?? 400);
+/** CI plays so many runs; `FAST_CHECK_RUNS=10000` is the long run. */
+const { seed, numRuns: RUNS } = propertyRuns(400);
 /** Mutants get as many runs as it takes to find them; more than this says the test is blind. */
 const MUTANT_RUNS = 4_000;
 
 async function check(mutation: Mutation, numRuns: number): Promise<PropertyOutcome> {
-  const order: PropertyOrder = { mutation, seed: SEED, numRuns };
+  const order: PropertyOrder = { mutation, seed, numRuns };
   const { href: module } = new URL('./keeperPropertyWorker.ts', import.meta.url);
   const loader = new URL('./typescriptWorker.mjs', import.meta.url);
   const worker = new Worker(loader, { workerData: { ...order, module } });
--- a/packages/turns/src/__tests__/simulatedKeepers.ts
+++ b/packages/turns/src/__tests__/simulatedKeepers.ts
@@ -12,7 +12,7 @@
   type Roster,
   RosterSchema,
 } from '@marjorampin/protocol';
-import { CallError, Clock } from '@marjorampin/types';
+import { CallError, type Clock } from '@marjorampin/types';
 import type fc from 'fast-check';
 import { KeeperHandler } from '../keeperHandler';
 import { ProgramBook } from '../programBook';
@@ -34,37 +34,6 @@
 /** Ids of all keepers. */
 export const KEEPERS = ['a', 'b', 'c'];
 
-/** Milliseconds that stand for one step of the scheduler. */
-const STEP_MS = 40;
-
-/** A clock on which sleeps end in any order, short ones mostly first. */
-export class ScheduledClock extends Clock {
-  private timeMs = 0;
-
-  private readonly scheduler: fc.Scheduler;
-
-  constructor(scheduler: fc.Scheduler) {
-    super();
-    this.scheduler = scheduler;
-  }
-
-  override now(): number {
-    return this.timeMs;
-  }
-
-  override wallTime(): number {
-    return this.timeMs;
-  }
-
-  override async sleep(ms: number): Promise<void> {
-    // Longer sleeps lose more races, so that most messages are faster than most timeouts.
-    for (let slept = 0; slept < ms; slept += STEP_MS) {
-      await this.scheduler.schedule(Promise.resolve());
-    }
-    this.timeMs += ms;
-  }
-}
-
 /** A disk that loses what was not synced when the power fails. */
 class SimulatedDisk {
   synced: KeptEvent[] = [];
