--- a/packages/store/src/httpKeyValueStore.ts
+++ b/packages/store/src/httpKeyValueStore.ts
@@ -1,6 +1,13 @@
 import { Err, Ok, type Result } from '@marjorampin/types';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import * as z from 'zod';
+import {
+  exchangeJson,
+  refusedError,
+  type StoreAnswer,
+  type StoreRequest,
+  unansweredError,
+} from './exchangeJson';
 import {
   type Changes,
   type CompareAndSwap,
@@ -8,7 +15,7 @@
   KeyValueStore,
   type Snapshot,
   type StoredValue,
-  StoreError,
+  type StoreError,
 } from './keyValueStore';
 
 const storedValue = z.object({ key: z.string(), value: z.string(), version: z.number() });
@@ -23,10 +30,10 @@
   timeoutMs?: number;
 }
 
-interface Answer {
-  status: number;
-  body: unknown;
-}
+/** Requests under way at once; an entry has at most one for each partition and program. */
+const CONNECTIONS = 64;
+/** A request takes a few milliseconds; a store that is slower than this is taken for down. */
+const TIMEOUT_MS = 1_000;
 
 /** The platform's key-value service over HTTP. */
 export class HttpKeyValueStore extends KeyValueStore {
@@ -36,11 +43,11 @@
 
   private readonly dispatcher: Agent;
 
-  constructor({ url, timeoutMs = 1_000 }: HttpKeyValueStoreOptions) {
+  constructor({ url, timeoutMs = TIMEOUT_MS }: HttpKeyValueStoreOptions) {
     super();
     this.url = url.replace(/\/$/, '');
     this.timeoutMs = timeoutMs;
-    this.dispatcher = new Agent({ connections: 64, pipelining: 1 });
+    this.dispatcher = new Agent({ connections: CONNECTIONS, pipelining: 1 });
   }
 
   override async get(key: string): Promise<Result<StoredValue | undefined, StoreError>> {
@@ -84,46 +91,30 @@
   }
 
   private async send(
-    method: 'GET' | 'PUT' | 'DELETE',
+    method: StoreRequest['method'],
     path: string,
     body?: unknown,
     extraMs = 0,
-  ): Promise<Result<Answer, StoreError>> {
-    // A write whose answer is lost may still have taken effect.
-    const lost = method === 'GET' ? 'unavailable' : 'ambiguous';
+  ): Promise<Result<StoreAnswer, StoreError>> {
+    const { url: origin, dispatcher } = this;
+    const signal = AbortSignal.timeout(this.timeoutMs + extraMs);
     try {
-      const response = await request(`${this.url}${path}`, {
-        method,
-        dispatcher: this.dispatcher,
-        headers: { 'content-type': 'application/json' },
-        body: body === undefined ? null : JSON.stringify(body),
-        signal: AbortSignal.timeout(this.timeoutMs + extraMs),
-      });
-      const text = await response.body.text();
-      return this.interpret(response.statusCode, text, lost);
+      const answer = await exchangeJson({ origin, method, path, body, dispatcher, signal });
+      return this.interpret(answer, method);
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      const message = `platform store at ${this.url} did not answer: ${reason}; check that it runs`;
-      return Err(new StoreError({ kind: lost, message }));
+      return Err(unansweredError({ origin, method }, error));
     }
   }
 
   private interpret(
-    status: number,
-    text: string,
-    lost: 'unavailable' | 'ambiguous',
-  ): Result<Answer, StoreError> {
-    if (status === 409) {
-      return Err(conflictError());
-    }
-    if (status === 503) {
-      const message = `platform store at ${this.url} refuses requests; retry later`;
-      return Err(new StoreError({ kind: 'unavailable', message }));
-    }
-    if (status >= 500) {
-      const message = `platform store at ${this.url} failed with ${status}; retry later`;
-      return Err(new StoreError({ kind: lost, message }));
-    }
-    return Ok({ status, body: text === '' ? undefined : JSON.parse(text) });
+    answer: StoreAnswer,
+    method: StoreRequest['method'],
+  ): Result<StoreAnswer, StoreError> {
+    const { status } = answer;
+    const { url: origin } = this;
+    if (status === 409) return Err(conflictError());
+    if (status === 503) return Err(refusedError(origin, status));
+    if (status >= 500) return Err(unansweredError({ origin, method }, `it failed with ${status}`));
+    return Ok(answer);
   }
 }
