--- a/packages/turns/src/askQuorum.ts
+++ b/packages/turns/src/askQuorum.ts
@@ -2,6 +2,9 @@
 import type { Clock } from '@marjorampin/types';
 import { keepersUnavailable } from './keepersUnavailable';
 
+/** A quorum that does not answer within this time is given up; well above a sync on a busy disk. */
+export const QUORUM_TIMEOUT_MS = 900;
+
 /** Whom to ask, and how many answers are enough. */
 export interface QuorumOptions {
   /** In the order in which they are asked. */
@@ -60,7 +63,8 @@
       while (asked < group.length) askNext();
     };
     const giveUp = () => {
-      reject(keepersUnavailable(`${answers.length} of ${needed} keepers answered in time`));
+      const text = `${answers.length} of ${needed} keepers answered in time`;
+      end(() => reject(keepersUnavailable(text)));
     };
     timers.push(clock.after(hedgeMs, askRest), clock.after(timeoutMs, giveUp));
     while (asked < needed) askNext();
--- a/packages/turns/src/durableLog.ts
+++ b/packages/turns/src/durableLog.ts
@@ -20,7 +20,7 @@
 
 interface Segment {
   name: string;
-  /** Time of the machine at which the last of its events is of no use any more. */
+  /** Wall time at which the last of its events is of no use any more. */
   expiresAtMs: number;
 }
 
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -21,6 +21,8 @@
 import type { ProgramBook } from './programBook';
 import { isAssigned } from './restoration';
 
+/** A keeper reads the roster within this time after its start, where the store answers. */
+const START_RETRY_MS = 500;
 /** Size of one page of a copy, well below what a message between peers may hold. */
 const PAGE_BYTES = 1024 * 1024;
 
@@ -144,7 +146,7 @@
       throw new CallError({
         kind: 'platform-unavailable',
         message: 'this keeper knows no roster yet; retry at another keeper',
-        retryAfterMs: 500,
+        retryAfterMs: START_RETRY_MS,
       });
     }
     if (this.roster.version <= version) return undefined;
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -22,6 +22,8 @@
 
 /** Pause before a restoration that missed sources is tried again. */
 const RESTORATION_PAUSE_MS = 200;
+/** A keeper that does not tell its version within this time is asked in the next round. */
+const VERSION_TIMEOUT_MS = 1_000;
 /** How often what has expired is dropped. */
 const EXPIRY_INTERVAL_MS = 5_000;
 /** A silent watch of the roster is noticed after this long. */
@@ -213,7 +215,7 @@
     try {
       const reply = await this.peers
         ?.get(address)
-        .call({ case: 'copyPrograms', value }, { progressTimeoutMs: 1_000 });
+        .call({ case: 'copyPrograms', value }, { progressTimeoutMs: VERSION_TIMEOUT_MS });
       return reply?.body.case === 'programPage' ? reply.body.value.restoredVersion : -1;
     } catch (error) {
       this.options.log.write('keeperUnreachable', { address, error: String(error) });
--- a/packages/turns/src/programBook.ts
+++ b/packages/turns/src/programBook.ts
@@ -6,6 +6,7 @@
   ReservationSchema,
   type TurnRecord,
 } from '@marjorampin/protocol';
+import { heldChain } from './turnChain';
 
 /** About what an id with its numbers takes in a message. */
 const BYTES_PER_ENTRY = 32;
@@ -13,7 +14,8 @@
 interface KeptProgram {
   /** Newest state by turn. */
   reservations: Map<string, Reservation>;
-  records: Map<string, TurnRecord>;
+  /** Turns that the program has made and that are held. */
+  turns: Set<string>;
   expiresAtMs: number;
 }
 
@@ -27,7 +29,7 @@
 export class ProgramBook {
   private readonly programs = new Map<string, KeptProgram>();
 
-  private readonly programOfTurn = new Map<string, string>();
+  private readonly recordByTurn = new Map<string, TurnRecord>();
 
   /** Notes a reservation and returns all others of the program. A repeated one gets those that were
    * copied from other keepers in the meantime, although they were made before it. */
@@ -48,20 +50,18 @@
   /** Adds a turn. */
   add(record: TurnRecord, expiresAtMs: number): void {
     const kept = this.keep(record.program, expiresAtMs);
-    kept.records.set(record.turn, record);
-    this.programOfTurn.set(record.turn, record.program);
+    kept.turns.add(record.turn);
+    this.recordByTurn.set(record.turn, record);
   }
 
   /** Returns a turn and those before it that are held, oldest first; empty when it is not held. */
   chain(turn: string): TurnRecord[] {
-    const last = this.find(turn);
-    if (!last) return [];
-    return [...last.ancestors.flatMap((ancestor) => this.find(ancestor) ?? []), last];
+    return heldChain(this.recordByTurn, turn);
   }
 
   /** Returns the turns that are held of those given. */
   records(turns: string[]): TurnRecord[] {
-    return turns.flatMap((turn) => this.find(turn) ?? []);
+    return turns.flatMap((turn) => this.recordByTurn.get(turn) ?? []);
   }
 
   /** Returns whether a reservation would change what is held. */
@@ -74,7 +74,7 @@
 
   /** Returns whether a turn is held. */
   has(turn: string): boolean {
-    return this.programOfTurn.has(turn);
+    return this.recordByTurn.has(turn);
   }
 
   /** Drops programs whose time has passed. */
@@ -82,7 +82,7 @@
     [...this.programs].forEach(([program, kept]) => {
       if (kept.expiresAtMs > nowMs) return;
       this.programs.delete(program);
-      [...kept.records.keys()].forEach((turn) => this.programOfTurn.delete(turn));
+      kept.turns.forEach((turn) => this.recordByTurn.delete(turn));
     });
   }
 
@@ -109,7 +109,7 @@
 
   /** Number of programs and turns held. */
   get size(): { programs: number; turns: number } {
-    return { programs: this.programs.size, turns: this.programOfTurn.size };
+    return { programs: this.programs.size, turns: this.recordByTurn.size };
   }
 
   private copy(program: string, nowMs: number): ProgramCopy {
@@ -117,20 +117,15 @@
     return create(ProgramCopySchema, {
       program,
       reservations: [...(kept?.reservations.values() ?? [])],
-      turns: [...(kept?.records.keys() ?? [])],
+      turns: [...(kept?.turns ?? [])],
       remainingMs: Math.max(0, (kept?.expiresAtMs ?? nowMs) - nowMs),
     });
   }
 
-  private find(turn: string): TurnRecord | undefined {
-    const program = this.programOfTurn.get(turn);
-    return program === undefined ? undefined : this.programs.get(program)?.records.get(turn);
-  }
-
   private keep(program: string, expiresAtMs: number): KeptProgram {
     const kept = this.programs.get(program) ?? {
       reservations: new Map(),
-      records: new Map(),
+      turns: new Set(),
       expiresAtMs,
     };
     kept.expiresAtMs = Math.max(kept.expiresAtMs, expiresAtMs);
--- a/packages/turns/src/turnCache.ts
+++ b/packages/turns/src/turnCache.ts
@@ -1,4 +1,5 @@
 import type { TurnRecord } from '@marjorampin/protocol';
+import { wholeChain } from './turnChain';
 
 /** Turns that were read or written lately, up to a number of bytes. */
 export class TurnCache {
@@ -14,10 +15,7 @@
 
   /** Returns a turn and all before it, or undefined when one of them is not remembered. */
   chain(turn: string): TurnRecord[] | undefined {
-    const last = this.records.get(turn);
-    if (!last) return undefined;
-    const chain = [...last.ancestors.flatMap((ancestor) => this.records.get(ancestor) ?? []), last];
-    return chain.length === last.ancestors.length + 1 ? chain : undefined;
+    return wholeChain(this.records, turn);
   }
 
   /** Remembers a turn and forgets the oldest ones beyond the limit. */
@@ -36,12 +34,3 @@
 function sizeOf({ input, output }: TurnRecord): number {
   return input.length + output.length;
 }
-
-/** Returns a turn and all before it out of records in any order; undefined when one is missing. */
-export function assembleChain(records: TurnRecord[], turn: string): TurnRecord[] | undefined {
-  const byTurn = new Map(records.map((record) => [record.turn, record]));
-  const last = byTurn.get(turn);
-  if (!last) return undefined;
-  const chain = [...last.ancestors.flatMap((ancestor) => byTurn.get(ancestor) ?? []), last];
-  return chain.length === last.ancestors.length + 1 ? chain : undefined;
-}
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -12,14 +12,14 @@
 } from '@marjorampin/protocol';
 import { CallError, type Clock } from '@marjorampin/types';
 import { KeeperReach } from './keeperReach';
-import { assembleChain, TurnCache } from './turnCache';
+import { TurnCache } from './turnCache';
+import { wholeChain } from './turnChain';
+import { byTurn, TurnReader } from './turnReader';
 import { keepersUnavailable } from './keepersUnavailable';
-import { askQuorum } from './askQuorum';
+import { askQuorum, QUORUM_TIMEOUT_MS } from './askQuorum';
 import { newestOf } from './programBook';
-import { activeKeepers, denialsNeeded, groupOf, quorumSize } from './keeperGroup';
+import { activeKeepers, groupOf, quorumSize } from './keeperGroup';
 
-/** A quorum that does not answer within this time is given up; well above a sync on a busy disk. */
-const QUORUM_TIMEOUT_MS = 900;
 /** The rest of a group is asked after this long: several round trips and syncs. */
 const HEDGE_MS = 40;
 /** Keepers are not ready for some ten milliseconds after each change of their roster. */
@@ -70,6 +70,8 @@
 
   private readonly reach: KeeperReach;
 
+  private readonly reader: TurnReader;
+
   constructor(options: TurnStoreOptions) {
     this.options = options;
     const { clock, log, lossLimit, peers } = options;
@@ -80,6 +82,7 @@
       roster: () => this.roster,
       silentMs: ({ address }) => peers.get(address).silentMs,
     });
+    this.reader = new TurnReader({ peers, lossLimit, adopt: (roster) => this.adopt(roster) });
     this.cache = new TurnCache(options.cacheBytes ?? CACHE_BYTES);
   }
 
@@ -204,65 +207,13 @@
 
   private async findChain(previous: string, answers: Reservations[]): Promise<TurnRecord[]> {
     const brought = answers.flatMap((answer) => answer.chain);
-    const chain = assembleChain(brought, previous) ?? (await this.readChain(previous, brought));
+    const chain =
+      wholeChain(byTurn(brought), previous) ??
+      (await this.reader.read(this.knownRoster(), previous, brought));
     chain.forEach((record) => this.cache.add(record));
     return chain;
   }
 
-  /** Asks every keeper for a turn: another program may continue from it, with another group. */
-  private async readChain(turn: string, known: TurnRecord[]): Promise<TurnRecord[]> {
-    const { peers, lossLimit } = this.options;
-    const roster = this.knownRoster();
-    const value = { rosterVersion: roster.version, turn };
-    // Each turn is at a majority of its own, so that no single keeper need hold a whole line.
-    const found = [...known];
-    let denials = 0;
-    const outcomes = roster.keepers.map(async ({ address }) => {
-      const reply = await peers
-        .get(address)
-        .call({ case: 'readTurns', value }, { progressTimeoutMs: QUORUM_TIMEOUT_MS });
-      if (reply.body.case === 'newerRoster') this.adopt(reply.body.value);
-      if (reply.body.case !== 'turnChain') throw keepersUnavailable('the roster changes');
-      const { records, complete } = reply.body.value;
-      found.push(...records);
-      const chain = assembleChain(found, turn);
-      if (chain) return chain;
-      if (complete && records.length === 0) denials += 1;
-      throw keepersUnavailable(`keeper at ${address} does not hold turn ${turn}`);
-    });
-    try {
-      return await Promise.any(outcomes);
-    } catch {
-      if (found.some((record) => record.turn === turn)) return this.readMissing(turn, found);
-      if (denials < denialsNeeded(roster, lossLimit)) {
-        throw keepersUnavailable(`only ${denials} keepers could say whether turn ${turn} exists`);
-      }
-      const message = `no turn ${turn} exists; start a new line of turns`;
-      throw new CallError({ kind: 'unknown-turn', message });
-    }
-  }
-
-  /** Reads the turns before a found one that no keeper had together with it. */
-  private async readMissing(turn: string, found: TurnRecord[]): Promise<TurnRecord[]> {
-    const { peers } = this.options;
-    const held = new Set(found.map((record) => record.turn));
-    const last = found.find((record) => record.turn === turn);
-    const turns = (last?.ancestors ?? []).filter((ancestor) => !held.has(ancestor));
-    const parts = this.knownRoster().keepers.map(async ({ address }) => {
-      const body = { case: 'copyTurns' as const, value: { turns } };
-      const reply = await peers.get(address).call(body, { progressTimeoutMs: QUORUM_TIMEOUT_MS });
-      if (reply.body.case === 'turnChain') found.push(...reply.body.value.records);
-      const chain = assembleChain(found, turn);
-      if (chain) return chain;
-      throw keepersUnavailable(`keeper at ${address} does not hold all before turn ${turn}`);
-    });
-    try {
-      return await Promise.any(parts);
-    } catch {
-      throw keepersUnavailable(`${turns.length} turns before ${turn} could not be read`);
-    }
-  }
-
   /** Sends a request to the keepers of a program until a majority has answered as wanted. */
   private async atQuorum(
     program: string,
@@ -332,10 +283,10 @@
 
 /** Returns what is reserved or used by the other turns of a program. */
 function othersOf(answers: Reservations[], own: string): Reservation[] {
-  const byTurn = new Map<string, Reservation>();
+  const newest = new Map<string, Reservation>();
   answers
     .flatMap(({ others }) => others)
-    .forEach((each) => byTurn.set(each.turn, newestOf(each, byTurn.get(each.turn))));
-  byTurn.delete(own);
-  return [...byTurn.values()];
+    .forEach((each) => newest.set(each.turn, newestOf(each, newest.get(each.turn))));
+  newest.delete(own);
+  return [...newest.values()];
 }
