--- a/packages/protocol/src/peerChannel.ts
+++ b/packages/protocol/src/peerChannel.ts
@@ -96,11 +96,11 @@
 
   private lastCall = 0;
 
-  private lastReceivedMs: number;
+  private readonly openedAtMs: number;
 
-  private lastSentMs = -Infinity;
+  private lastReceivedMs: number | undefined;
 
-  private wasHeard = false;
+  private lastSentMs = -Infinity;
 
   private heartbeats = 0;
 
@@ -110,7 +110,7 @@
     this.handler = handler;
     this.clock = clock;
     this.peer = peer;
-    this.lastReceivedMs = clock.now();
+    this.openedAtMs = clock.now();
   }
 
   get isClosed(): boolean {
@@ -119,7 +119,7 @@
 
   /** Time of the clock at which a frame came last; undefined before the first. */
   get heardAtMs(): number | undefined {
-    return this.wasHeard ? this.lastReceivedMs : undefined;
+    return this.lastReceivedMs;
   }
 
   /** Sends a request and resolves with its answer. */
@@ -161,14 +161,13 @@
   receive(batch: Batch): void {
     if (this.closedBy) return;
     this.lastReceivedMs = this.clock.now();
-    this.wasHeard = true;
     batch.frames.forEach((frame) => this.receiveFrame(frame));
   }
 
   /** Sends a heartbeat if nothing else was sent, gives up stalled calls, closes a silent stream. */
   tick(): void {
     const now = this.clock.now();
-    if (now - this.lastReceivedMs > SILENCE_LIMIT_MS) {
+    if (now - (this.lastReceivedMs ?? this.openedAtMs) > SILENCE_LIMIT_MS) {
       this.close(`nothing was received for ${SILENCE_LIMIT_MS} ms`);
       return;
     }
