--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import { ROUTINE_SHARE } from '@marjorampin/logging';
 import { storyOf } from '../explain/story';
 
 /** Prints what the logs of several processes say about a request or a program. */
@@ -10,6 +11,6 @@
     console.log(story.join('\n'));
     return;
   }
-  const message = `no line names ${id}; successes are written for one request in 16, so look for its failures in the logs of all entries`;
+  const message = `no line names ${id}; successes are written for one request in ${ROUTINE_SHARE}, so look for its failures in the logs of all entries`;
   throw new Error(message);
 }
--- a/packages/cli/src/explain/logLine.ts
+++ b/packages/cli/src/explain/logLine.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@marjorampin/types';
 import * as z from 'zod';
 
 /** One line of a process's log. */
@@ -15,23 +16,15 @@
   event: z.number(),
 });
 
-/** Reads the lines of a log; what is no event, such as the output of other programs, is left out. */
+/** Reads the lines of a log; what is no event is left out: the output of other programs, and a line
+ * that was cut off when its process died. */
 export function readLines(text: string): LogLine[] {
   return text.split('\n').flatMap((line) => {
     // Collectors often put a time or a host before the line itself.
     const start = line.indexOf('{');
-    const parsed = schema.safeParse(start < 0 ? undefined : parse(line.slice(start)));
+    const parsed = schema.safeParse(start < 0 ? undefined : parseJson(line.slice(start)));
     if (!parsed.success) return [];
     const { name, time, event, ...fields } = parsed.data;
     return [{ process: name, timeMs: time, event, fields }];
   });
 }
-
-function parse(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // A line that was cut off when its process died.
-    return undefined;
-  }
-}
--- a/packages/logging/src/sampledEventLog.ts
+++ b/packages/logging/src/sampledEventLog.ts
@@ -2,7 +2,7 @@
 import type { EventName } from './events';
 
 /** One in so many routine successes is written, chosen by the request's id. */
-const ROUTINE_SHARE = 16;
+export const ROUTINE_SHARE = 16;
 /** Lines a second that troubles may write; far above what an operator reads. */
 const LINES_PER_SECOND = 200;
 const SECOND_MS = 1_000;
--- a/packages/turns/src/rosterRecord.ts
+++ b/packages/turns/src/rosterRecord.ts
@@ -6,7 +6,7 @@
   swapDurably,
   type TokenedValue,
 } from '@marjorampin/store';
-import type { Result } from '@marjorampin/types';
+import { parseJson, type Result } from '@marjorampin/types';
 import * as z from 'zod';
 
 /** Key of the roster in the platform's store. */
@@ -27,12 +27,8 @@
 
 /** Reads a roster as it is stored; undefined when it can't be read. */
 export function parseRoster(value: string, version: number): Roster | undefined {
-  try {
-    const { keepers } = rosterSchema.parse(JSON.parse(value));
-    return create(RosterSchema, { version, keepers });
-  } catch {
-    return undefined;
-  }
+  const parsed = rosterSchema.safeParse(parseJson(value));
+  return parsed.success ? create(RosterSchema, { version, ...parsed.data }) : undefined;
 }
 
 /** Writes a roster over the version that it was derived from; returns the new version. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,6 +3,7 @@
 export * from './clock';
 export * from './contract';
 export * from './epochFence';
+export * from './parseJson';
 export * from './peerAddress';
 export * from './program';
 export * from './result';
