--- /dev/null
+++ b/packages/gateway/src/callerServer.ts
@@ -0,0 +1,115 @@
+import http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { EventLog } from '@marjorampin/logging';
+import type { Metrics } from '@marjorampin/metrics';
+import type { CallerLimits } from '@marjorampin/routing';
+import type { PeerAddress } from '@marjorampin/types';
+
+/** The parser's own bound on headers; the configured one is checked on what it has read. */
+const PARSER_HEADER_BYTES = 64 * 1024;
+/** How often the parser looks for headers that take too long. */
+const HEADER_CHECK_INTERVAL_MS = 500;
+/** Connections that may wait to be accepted: a burst of a second at one host. */
+const BACKLOG = 1024;
+/** Limits until a configuration is known. */
+const INITIAL_LIMITS = { headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
+
+/** Answers to what the parser could not read, by its error code. */
+const MALFORMED_STATUS: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/** What the servers of a gateway need. */
+export interface CallerServerOptions {
+  /** Where callers connect. */
+  address: PeerAddress;
+  /** Where the platform asks whether this entry takes new connections. */
+  readyAddress: PeerAddress;
+  log: EventLog;
+  metrics: Metrics;
+  serve(message: http.IncomingMessage, response: http.ServerResponse): void;
+  isReady(): boolean;
+}
+
+/** Listens for callers and for questions about readiness; refuses what is no HTTP. */
+export class CallerServer {
+  private readonly options: CallerServerOptions;
+
+  private readonly server: http.Server;
+
+  private readonly readyServer: http.Server;
+
+  constructor(options: CallerServerOptions) {
+    this.options = options;
+    this.server = http.createServer(
+      {
+        maxHeaderSize: PARSER_HEADER_BYTES,
+        connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (message, response) => options.serve(message, response),
+    );
+    this.server.on('clientError', (error, socket) => this.refuseMalformed(error, socket as Socket));
+    this.applyLimits(INITIAL_LIMITS);
+    this.readyServer = http.createServer((message, response) => {
+      message.resume();
+      response.writeHead(options.isReady() ? 200 : 503).end();
+    });
+  }
+
+  /** Starts to listen. */
+  async start(): Promise<void> {
+    const { address, readyAddress } = this.options;
+    await listen(this.readyServer, readyAddress);
+    await listen(this.server, address);
+  }
+
+  /** Bounds how long callers may take and stay idle. */
+  applyLimits({
+    headerTimeoutMs,
+    idleTimeoutMs,
+  }: Pick<CallerLimits, 'headerTimeoutMs' | 'idleTimeoutMs'>): void {
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  /** Stops listening and closes all connections. */
+  async close(): Promise<void> {
+    const closed = Promise.all([this.server, this.readyServer].map(closeServer));
+    this.server.closeAllConnections();
+    this.readyServer.closeAllConnections();
+    await closed;
+  }
+
+  /** Address on which callers are served. */
+  get address(): AddressInfo {
+    return this.server.address() as AddressInfo;
+  }
+
+  private refuseMalformed(error: Error & { code?: string }, socket: Socket): void {
+    const { log, metrics } = this.options;
+    metrics.count('gateway_malformed_total', { code: error.code ?? 'unknown' });
+    if (!socket.writable || error.code === 'ECONNRESET' || socket.bytesRead === 0) {
+      socket.destroy();
+      return;
+    }
+    log.write('requestMalformed', { code: error.code, reason: error.message });
+    const status = MALFORMED_STATUS[error.code ?? ''] ?? '400 Bad Request';
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  }
+}
+
+async function listen(server: http.Server, { host, port }: PeerAddress): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ host, port, backlog: BACKLOG }, resolve);
+  });
+}
+
+async function closeServer(server: http.Server): Promise<void> {
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve());
+  });
+}
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -3,18 +3,10 @@
 /** Header names and values in turn, as they stand in a message. */
 export type RawHeaders = string[];
 
-/** A part of a prompt that calls with the same parts before it can share. */
-export interface PromptPart {
-  id: string;
-  tokens: number;
-}
-
 /** The program that a call belongs to. */
 export interface ProgramTerms {
   id: string;
   session: string;
-  /** Milliseconds until the program should be finished. */
-  finishMs: number | undefined;
   /** Tokens that all turns of the program may generate. */
   tokenBudget: number | undefined;
 }
@@ -30,7 +22,6 @@
   promptTokens: number;
   /** The most tokens that the call can generate. */
   maximumTokens: number;
-  promptParts: PromptPart[];
 }
 
 /** What an endpoint gets besides the caller's own headers. */
@@ -47,7 +38,6 @@
 export interface AnswerLoad {
   running: number;
   queued: number;
-  slots: number;
 }
 
 /** What the headers of an answer say. */
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -11,6 +11,9 @@
 /** Connections that were not taken say nothing about the call, but the search has to end. */
 const MAXIMUM_CONNECTION_FAILURES = 4;
 
+/** Statuses that promise callers that their call did not run and never will. */
+const PROMISING_STATUSES = new Set([408, 421, 429, 503]);
+
 /** What the attempts of a call need. */
 export interface EndpointAttemptsOptions {
   choice: EndpointChoice;
@@ -18,8 +21,8 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
-  /** Milliseconds since the list of endpoints was certainly the newest one. */
-  listAgeMs(): number;
+  /** Milliseconds since the endpoints that are known were certainly the newest ones. */
+  knowledgeAgeMs(): number;
 }
 
 /** What is sent, and to whom rather. */
@@ -73,12 +76,12 @@
   }
 
   private trace({ trace }: CallerRequest, { id }: Endpoint): void {
-    const { choice, clock, listAgeMs } = this.options;
+    const { choice, clock, knowledgeAgeMs } = this.options;
     const reportedAtMs = choice.directory.get(id)?.reportedAtMs;
     trace.chose({
       endpoint: id,
       loadAgeMs: reportedAtMs && Math.round(clock.now() - reportedAtMs),
-      listAgeMs: Math.round(listAgeMs()),
+      listAgeMs: Math.round(knowledgeAgeMs()),
     });
   }
 
@@ -148,7 +151,7 @@
     });
   }
   // These would promise the caller that nothing ran, which the endpoint has not said.
-  const isFalsePromise = [408, 421, 429, 503].includes(status);
+  const isFalsePromise = PROMISING_STATUSES.has(status);
   if (!isFalsePromise && (terms.isGenuine || status < 200 || status >= 300)) return;
   message.destroy();
   throw new CallError({
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -72,13 +72,13 @@
       fail('the caller left before the call was sent');
       return;
     }
-    const { host, port } = parsePeerAddress(endpoint.address) ?? {
-      host: endpoint.address,
-      port: 80,
-    };
+    const address = parsePeerAddress(endpoint.address);
+    if (!address) {
+      fail(`its address ${endpoint.address} is not an IP number and a port; correct its entry`);
+      return;
+    }
     const request = http.request({
-      host,
-      port,
+      ...address,
       method,
       path: target,
       headers,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,8 +1,8 @@
-import http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type http from 'node:http';
+import type { AddressInfo } from 'node:net';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
-import type { CallerLimits, RoutedConfiguration } from '@marjorampin/routing';
+import type { RoutedConfiguration } from '@marjorampin/routing';
 import { RouteTable } from '@marjorampin/routing';
 import type { TurnStore } from '@marjorampin/turns';
 import {
@@ -14,6 +14,7 @@
 } from '@marjorampin/types';
 import { CallForwarder } from './callForwarder';
 import { type CallerRequest, readCallerBody } from './callerRequest';
+import { CallerServer } from './callerServer';
 import { CallTrace } from './callTrace';
 import { trackCaller } from './callerSignal';
 import type { Dialect } from './dialect';
@@ -32,26 +33,9 @@
 import { headerBytes, headerValue } from './rawHeaders';
 import { TurnForwarder } from './turnForwarder';
 
-/** The parser's own bound on headers; the configured one is checked on what it has read. */
-const PARSER_HEADER_BYTES = 64 * 1024;
-/** How often the parser looks for headers that take too long. */
-const HEADER_CHECK_INTERVAL_MS = 500;
-/** Limits until a configuration is known. */
-const INITIAL_LIMITS: CallerLimits = {
-  headerBytes: 16 * 1024,
-  bodyBytes: 4 * 1024 * 1024,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
 /** A configuration older than this can't prove that a route does not exist. */
 const CONFIGURATION_TRUST_MS = 2_000;
 
-/** Answers to what the parser could not read, by its error code. */
-const MALFORMED_STATUS: Record<string, string> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
 /** What a gateway needs. */
 export interface GatewayOptions {
   /** Where callers connect. */
@@ -64,8 +48,8 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
-  /** Milliseconds since the configuration was certainly the newest one. */
-  configurationAgeMs(): number;
+  /** Milliseconds since configuration and endpoints were certainly the newest ones. */
+  knowledgeAgeMs(): number;
 }
 
 /** A request and what its line in the log needs. */
@@ -86,9 +70,7 @@
 
   private readonly turns: TurnForwarder;
 
-  private readonly server: http.Server;
-
-  private readonly readyServer: http.Server;
+  private readonly server: CallerServer;
 
   private table: RouteTable | undefined;
 
@@ -107,22 +89,25 @@
     const { clock, domain, dialect, log, metrics, turns } = options;
     this.lag = new LoopLag({ clock });
     this.choice = new EndpointChoice({ clock, domain });
-    const { configurationAgeMs: listAgeMs } = options;
+    const { knowledgeAgeMs } = options;
     const attempts = new EndpointAttempts({
       choice: this.choice,
       dialect,
       clock,
       log,
       metrics,
-      listAgeMs,
+      knowledgeAgeMs,
     });
     this.calls = new CallForwarder({ attempts, dialect });
     this.turns = new TurnForwarder({ attempts, dialect, turns });
-    this.server = this.createServer();
-    this.applyLimits(INITIAL_LIMITS);
-    this.readyServer = http.createServer((message, response) => {
-      message.resume();
-      response.writeHead(this.isReady ? 200 : 503).end();
+    const { address, readyAddress } = options;
+    this.server = new CallerServer({
+      address,
+      readyAddress,
+      log,
+      metrics,
+      serve: (message, response) => this.serve(message, response),
+      isReady: () => this.isReady,
     });
     metrics.gauge('gateway_active_requests', 'requests under way', () => this.active);
     metrics.gauge('gateway_loop_lag_ms', 'smoothed lag of the event loop', () => this.lag.ms);
@@ -133,9 +118,7 @@
 
   /** Starts to listen. */
   async start(): Promise<void> {
-    const { address, readyAddress } = this.options;
-    await listen(this.readyServer, readyAddress);
-    await listen(this.server, address);
+    await this.server.start();
     this.lag.run();
   }
 
@@ -144,7 +127,7 @@
     const known = this.table?.configuration.version ?? -Infinity;
     if (configuration.version <= known) return;
     this.table = new RouteTable({ configuration });
-    this.applyLimits(configuration.limits);
+    this.server.applyLimits(configuration.limits);
     const { version, routes } = configuration;
     this.options.log.write('configurationChanged', { version, routes: routes.length });
   }
@@ -183,36 +166,12 @@
   /** Stops listening and closes all connections. */
   async close(): Promise<void> {
     this.lag.stop();
-    const closed = Promise.all([this.server, this.readyServer].map(closeServer));
-    this.server.closeAllConnections();
-    this.readyServer.closeAllConnections();
-    await closed;
+    await this.server.close();
   }
 
   /** Address on which callers are served. */
   get callerAddress(): AddressInfo {
-    return this.server.address() as AddressInfo;
-  }
-
-  private createServer(): http.Server {
-    const server = http.createServer(
-      {
-        maxHeaderSize: PARSER_HEADER_BYTES,
-        connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
-        requestTimeout: 0,
-        noDelay: true,
-      },
-      (message, response) => {
-        this.serve(message, response);
-      },
-    );
-    server.on('clientError', (error, socket) => this.refuseMalformed(error, socket as Socket));
-    return server;
-  }
-
-  private applyLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
-    this.server.headersTimeout = headerTimeoutMs;
-    this.server.keepAliveTimeout = idleTimeoutMs;
+    return this.server.address;
   }
 
   private async serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -298,7 +257,7 @@
   }
 
   private unknownRoute(target: string): CallError {
-    if (this.options.configurationAgeMs() > CONFIGURATION_TRUST_MS) return notConfigured();
+    if (this.options.knowledgeAgeMs() > CONFIGURATION_TRUST_MS) return notConfigured();
     return unknownRoute(target);
   }
 
@@ -345,28 +304,4 @@
       reason: failure?.message,
     });
   }
-
-  private refuseMalformed(error: Error & { code?: string }, socket: Socket): void {
-    this.options.metrics.count('gateway_malformed_total', { code: error.code ?? 'unknown' });
-    if (!socket.writable || error.code === 'ECONNRESET' || socket.bytesRead === 0) {
-      socket.destroy();
-      return;
-    }
-    this.options.log.write('requestMalformed', { code: error.code, reason: error.message });
-    const status = MALFORMED_STATUS[error.code ?? ''] ?? '400 Bad Request';
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-  }
-}
-
-async function listen(server: http.Server, { host, port }: PeerAddress): Promise<void> {
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({ host, port, backlog: 1024 }, resolve);
-  });
-}
-
-async function closeServer(server: http.Server): Promise<void> {
-  await new Promise<void>((resolve) => {
-    server.close(() => resolve());
-  });
 }
--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -13,6 +13,9 @@
 /** Turns are kept longer than promised by what clocks may jump and a restart may take. */
 const RETENTION_SLACK_MS = 20_000;
 
+/** Hexadecimal digits of a session's id that decide its share: finer than any weight. */
+const SHARE_DIGITS = 6;
+
 /** What forwarding turns needs. */
 export interface TurnForwarderOptions {
   attempts: EndpointAttempts;
@@ -124,6 +127,7 @@
 
 /** Returns a point between 0 and 1 that stays the same for a line of turns. */
 function sharePoint(session: string): number {
-  const parsed = Number.parseInt(session.slice(-6), 16);
-  return Number.isNaN(parsed) ? Math.random() : parsed / 0x1000000;
+  const digits = session.slice(-SHARE_DIGITS);
+  const parsed = Number.parseInt(digits, 16);
+  return Number.isNaN(parsed) ? Math.random() : parsed / 16 ** digits.length;
 }
--- a/packages/routing/src/route.ts
+++ b/packages/routing/src/route.ts
@@ -16,10 +16,6 @@
   kind: CallKind;
   /** Longest time for which a caller is kept waiting, in milliseconds. */
   timeoutMs: number;
-  /** Latency that the answer should keep, in milliseconds; for streams up to the first event. */
-  objectiveMs: number;
-  /** Longest pause between two events that is still on time, in milliseconds. */
-  pauseObjectiveMs: number;
   /** Order of importance; 0 comes first. */
   rank: number;
   destinations: Destination[];
@@ -31,10 +27,6 @@
 
 /** A model engine as its service describes it. */
 export interface EngineTraits {
-  /** Requests that run at once. */
-  slots: number;
-  /** Tokens that fit into its memory. */
-  contextTokens: number;
   /** Tokens in each event of a stream. */
   tokensPerEvent: number;
 }
@@ -42,8 +34,6 @@
 /** One service of a configuration. */
 export interface RoutedService {
   name: string;
-  /** Connections that one endpoint accepts from all callers. */
-  maximumConnections: number;
   engine: EngineTraits | undefined;
 }
 
