--- a/packages/gateway/src/rawHeaders.ts
+++ b/packages/gateway/src/rawHeaders.ts
@@ -16,7 +16,9 @@
 /** Returns the first value of a header; names are matched in lower case. */
 export function headerValue(headers: RawHeaders, name: string): string | undefined {
   for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (headers[index]?.toLowerCase() === name) return headers[index + 1];
+    const known = headers[index] ?? '';
+    // Lengths differ for most names, and several are looked up for each call.
+    if (known.length === name.length && known.toLowerCase() === name) return headers[index + 1];
   }
   return undefined;
 }
