Mend the four known faults: ledger takeover, explain, split events, foreign servers

Cause: a ledger shard set its head before its records were loaded, and read a missing segment as empty; explain listed a program's events also as context; an event whose blank line was split over two chunks counted twice; the session manager of connect-node removes its error listener, so a second session error was uncaught. Change: requests await an opening in progress, a missing segment is an error; context leaves out the matches; the end of the text is kept across chunks; PeerSession holds one session with a permanent error listener.

--- a/packages/cli/src/explain/timeline.ts
+++ b/packages/cli/src/explain/timeline.ts
@@ -33,15 +33,17 @@
   return fields.request === id || fields.program === id || fields.turn === id;
 }
 
-/** Returns the events of a process that have no request id and are close in time to `matches`. */
+/** Returns the other events of a process that have no request id and are close in time to `matches`. */
 function findContext(lines: LogLine[], matches: LogLine[], process: string): LogLine[] {
   const times = matches.map(({ timeMs }) => timeMs);
   const from = Math.min(...times) - CONTEXT_MARGIN_MS;
   const until = Math.max(...times) + CONTEXT_MARGIN_MS;
-  return lines.filter(
-    ({ process: writer, timeMs, fields }) =>
-      writer === process && fields.request === undefined && timeMs >= from && timeMs <= until,
-  );
+  const matched = new Set(matches);
+  return lines.filter((line) => {
+    const { process: writer, timeMs, fields } = line;
+    const isNear = timeMs >= from && timeMs <= until;
+    return writer === process && fields.request === undefined && isNear && !matched.has(line);
+  });
 }
 
 function renderLine({ timeMs, event, fields }: LogLine, isMatch: boolean): string {
--- a/packages/gateway/src/eventReader.ts
+++ b/packages/gateway/src/eventReader.ts
@@ -1,5 +1,8 @@
 import { createParser, type EventSourceParser } from 'eventsource-parser';
 
+/** Length of the longest end of an event: two line breaks of two characters each. */
+const EVENT_END_LENGTH = 4;
+
 /** Parses a stream of server-sent events: collects their data and counts those begun. */
 export class EventReader {
   private readonly decoder = new TextDecoder();
@@ -10,6 +13,9 @@
 
   private hasPartialEvent = false;
 
+  /** End of the text read so far, which shows a blank line that is split over chunks. */
+  private tail = '';
+
   constructor() {
     this.parser = createParser({
       onEvent: ({ data }) => {
@@ -22,7 +28,8 @@
   read(chunk: Buffer): void {
     const text = this.decoder.decode(chunk, { stream: true });
     this.parser.feed(text);
-    this.hasPartialEvent = !/\r?\n\r?\n$/.test(text);
+    this.tail = (this.tail + text).slice(-EVENT_END_LENGTH);
+    this.hasPartialEvent = !/\r?\n\r?\n$/.test(this.tail);
   }
 
   /** Number of events begun so far, including an incomplete last one. */
--- a/packages/ledger/src/__tests__/ledgerShard.test.ts
+++ b/packages/ledger/src/__tests__/ledgerShard.test.ts
@@ -92,6 +92,21 @@
   assert.equal((await second).unwrap()?.kind, 'intent');
 });
 
+test('a missing segment fails reads instead of being read as empty', async () => {
+  const store = new MemoryKeyValueStore();
+  const clock = new ManualClock();
+  const former = openShard(store, 'entry-0', clock);
+  for (let index = 0; index < 9; index += 1) {
+    await advanceUntilSettled(clock, former.append([intent(`key-${index}`)]));
+  }
+  const listed = (await store.list('')).unwrap();
+  const segment = listed.values.find(({ key }) => key.includes('/segment/'));
+  assert.ok(segment);
+  await store.remove(segment.key, segment.version);
+  const read = await openShard(store, 'entry-1', clock).read('key-0');
+  assert.equal(read.err && read.val.kind, 'platform-unavailable');
+});
+
 test('the commit interval bounds the writes to the store under load', async () => {
   const store = new MemoryKeyValueStore();
   const clock = new ManualClock();
--- a/packages/ledger/src/ledgerShard.ts
+++ b/packages/ledger/src/ledgerShard.ts
@@ -204,7 +204,8 @@
   }
 
   private ensureOpen(): Promise<Result<void, CallError>> {
-    if (this.head) return Promise.resolve(Ok(undefined));
+    // The head is set before the records are loaded, so an opening in progress is awaited first.
+    if (!this.opening && this.head) return Promise.resolve(Ok(undefined));
     this.opening ??= this.open().finally(() => {
       this.opening = undefined;
     });
@@ -232,7 +233,8 @@
     for (const segment of head.segments) {
       const read = await this.store.get(segmentKey(this.shard, segment));
       if (read.err) return Err(this.callErrorOf(read.val));
-      const records = JSON.parse(read.val?.value ?? '[]') as LedgerRecord[];
+      if (!read.val) return Err(this.missingSegmentError(segment));
+      const records = JSON.parse(read.val.value) as LedgerRecord[];
       records.forEach((record) => newest.set(record.key, record));
     }
     head.tail.forEach((record) => newest.set(record.key, record));
@@ -241,6 +243,11 @@
     return Ok(undefined);
   }
 
+  private missingSegmentError(segment: number): CallError {
+    const message = `segment ${segment} of ledger shard ${this.shard} is missing from the store; restore the key ${segmentKey(this.shard, segment)}`;
+    return new CallError({ kind: 'platform-unavailable', message, retryAfterMs: 1_000 });
+  }
+
   private callErrorOf(cause: StoreError): CallError {
     if (cause.kind === 'conflict') {
       const message = `ledger shard ${this.shard} was taken over by a newer writer; send the request to that entry`;
--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -1,5 +1,5 @@
 import { createClient } from '@connectrpc/connect';
-import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { createGrpcTransport } from '@connectrpc/connect-node';
 import { CallError, type Clock } from '@marjorampin/types';
 import { Peer, type Reply } from './gen/peer_pb';
 import {
@@ -9,6 +9,7 @@
   type PeerHandler,
   WITHOUT_COMPRESSION,
 } from './peerChannel';
+import { PeerSession } from './peerSession';
 import { readTlsFiles, type TlsFiles } from './tlsFiles';
 
 const INITIAL_BACKOFF_MS = 50;
@@ -89,9 +90,6 @@
   private async runStream(channel: PeerChannel): Promise<void> {
     const { address, tls } = this.options;
     const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
-    const tlsOptions = tls ? readTlsFiles(tls) : undefined;
-    const sessionManager = new Http2SessionManager(baseUrl, {}, tlsOptions);
-    const transport = createGrpcTransport({ baseUrl, sessionManager, ...WITHOUT_COMPRESSION });
     const controller = new AbortController();
     const heartbeat = setInterval(() => {
       channel.tick();
@@ -99,7 +97,18 @@
     }, HEARTBEAT_INTERVAL_MS);
     const onStop = () => controller.abort();
     this.stopController.signal.addEventListener('abort', onStop);
+    let session: PeerSession | undefined;
     try {
+      const openSession = new PeerSession({
+        authority: baseUrl,
+        tls: tls && readTlsFiles(tls),
+      });
+      session = openSession;
+      const transport = createGrpcTransport({
+        baseUrl,
+        sessionManager: openSession,
+        ...WITHOUT_COMPRESSION,
+      });
       const batches = createClient(Peer, transport).exchange(channel.outgoing, {
         signal: controller.signal,
       });
@@ -110,7 +119,7 @@
     } finally {
       clearInterval(heartbeat);
       this.stopController.signal.removeEventListener('abort', onStop);
-      sessionManager.abort();
+      session?.abort();
     }
   }
 
--- /dev/null
+++ b/packages/protocol/src/peerSession.ts
@@ -0,0 +1,67 @@
+import http2 from 'node:http2';
+import type { GrpcTransportOptions } from '@connectrpc/connect-node';
+import { CallError } from '@marjorampin/types';
+
+type SessionManager = NonNullable<GrpcTransportOptions['sessionManager']>;
+
+const ignoreProgress = () => undefined;
+
+/** Options of `PeerSession`. */
+export interface PeerSessionOptions {
+  /** URL of the peer without a path. */
+  authority: string;
+  tls?: http2.SecureClientSessionOptions | undefined;
+}
+
+/** One HTTP/2 session for one stream. A session error fails the stream and is never uncaught, even
+ * when it is emitted more than once. */
+export class PeerSession implements SessionManager {
+  readonly authority: string;
+
+  /** Progress of responses is supervised by `PeerChannel`. */
+  readonly notifyResponseByteRead = ignoreProgress;
+
+  private readonly tls: http2.SecureClientSessionOptions | undefined;
+
+  private session: http2.ClientHttp2Session | undefined;
+
+  private isAborted = false;
+
+  constructor({ authority, tls }: PeerSessionOptions) {
+    this.authority = authority;
+    this.tls = tls;
+  }
+
+  /** Connects and sends a request; rejects with `connection-lost` if the session ends earlier. */
+  async request(
+    method: string,
+    path: string,
+    headers: http2.OutgoingHttpHeaders,
+    options: http2.ClientSessionRequestOptions,
+  ): Promise<http2.ClientHttp2Stream> {
+    if (this.isAborted) throw this.connectionError('the stream was closed');
+    const session = await this.connect();
+    return session.request({ ...headers, ':method': method, ':path': path }, options);
+  }
+
+  /** Closes the connection immediately. */
+  abort(): void {
+    this.isAborted = true;
+    this.session?.destroy();
+  }
+
+  private connect(): Promise<http2.ClientHttp2Session> {
+    return new Promise((resolve, reject) => {
+      const session = http2.connect(this.authority, this.tls);
+      this.session = session;
+      session.on('error', (error) => reject(this.connectionError(error.message)));
+      session.once('close', () => reject(this.connectionError('the connection closed')));
+      session.once('connect', () => resolve(session));
+    });
+  }
+
+  private connectionError(reason: string): CallError {
+    const message = `no connection to ${this.authority}: ${reason}; check the peer, then retry`;
+    return new CallError({ kind: 'connection-lost', message });
+  }
+}
