Send no new calls to an endpoint whose answer says that it is leaving

Cause: only the registration told that an endpoint leaves, which can be late or unreadable. A new incarnation is used again.

--- a/packages/gateway/src/endpointChoice.ts
+++ b/packages/gateway/src/endpointChoice.ts
@@ -84,7 +84,12 @@
   }
 
   /** Updates an endpoint's load and availability from the status and headers of an answer. */
-  recordAnswer(endpoint: Endpoint, { load, isNotRun }: AnswerHeaders, status: number): void {
+  recordAnswer(
+    endpoint: Endpoint,
+    { load, isNotRun, isLeaving }: AnswerHeaders,
+    status: number,
+  ): void {
+    if (isLeaving) this.directory.markLeaving(endpoint);
     if (load) {
       const { running, queued } = load;
       this.directory.report(endpoint.id, { running, queued, cachedTokens: 0 }, false);
--- a/packages/gateway/src/headerCodec.ts
+++ b/packages/gateway/src/headerCodec.ts
@@ -51,6 +51,8 @@
   /** Whether the endpoint states that the call did not run and never will. */
   isNotRun: boolean;
   load: AnswerLoad | undefined;
+  /** Whether the endpoint is shutting down and must not get new calls. */
+  isLeaving: boolean;
 }
 
 /** Reads and writes the headers exchanged with callers and endpoints. */
--- a/packages/routing/src/endpointDirectory.ts
+++ b/packages/routing/src/endpointDirectory.ts
@@ -29,16 +29,32 @@
 /** Weight of a new measurement in the smoothed milliseconds per token. */
 const MS_PER_TOKEN_SMOOTHING = 0.2;
 
+/** Number of leaving endpoints to remember: more than leave within the shutdown time of one. */
+const MAXIMUM_LEAVING = 10_000;
+
 /** The registered endpoints with their load, speed and availability as this process knows them. */
 export class EndpointDirectory {
   private readonly clock: Clock;
 
   private readonly views = new Map<string, EndpointView>();
 
+  /** Incarnations that announced that they are leaving, by endpoint id. The registration of such an
+   * endpoint can disappear and return, for example after an outage of the store. */
+  private readonly leavingIncarnations = new Map<string, string>();
+
   constructor({ clock }: { clock: Clock }) {
     this.clock = clock;
   }
 
+  /** Excludes an endpoint from all new calls until it registers with another incarnation. */
+  markLeaving({ id, incarnation }: Endpoint): void {
+    this.leavingIncarnations.delete(id);
+    this.leavingIncarnations.set(id, incarnation);
+    if (this.leavingIncarnations.size > MAXIMUM_LEAVING) this.forgetOldestLeaving();
+    const view = this.views.get(id);
+    if (view?.endpoint.incarnation === incarnation) view.isLeaving = true;
+  }
+
   /** Replaces the registered endpoints; the state of an endpoint with a new incarnation is reset. */
   update(endpoints: Endpoint[]): void {
     const registeredIds = new Set(endpoints.map(({ id }) => id));
@@ -104,11 +120,20 @@
     if (view) view.excludedUntilMs = this.clock.now() + durationMs;
   }
 
+  private isLeaving({ id, incarnation, state }: Endpoint): boolean {
+    return state === 'leaving' || this.leavingIncarnations.get(id) === incarnation;
+  }
+
+  private forgetOldestLeaving(): void {
+    const [oldest] = this.leavingIncarnations.keys();
+    if (oldest !== undefined) this.leavingIncarnations.delete(oldest);
+  }
+
   private updateEndpoint(endpoint: Endpoint): void {
     const known = this.views.get(endpoint.id);
     if (known?.endpoint.incarnation === endpoint.incarnation) {
       known.endpoint = endpoint;
-      known.isLeaving = known.isLeaving || endpoint.state === 'leaving';
+      known.isLeaving = known.isLeaving || this.isLeaving(endpoint);
       return;
     }
     this.views.set(endpoint.id, {
@@ -118,7 +143,7 @@
       localRunning: 0,
       sentSinceReport: 0,
       excludedUntilMs: 0,
-      isLeaving: endpoint.state === 'leaving',
+      isLeaving: this.isLeaving(endpoint),
       msPerToken: 0,
     });
   }
