Account the tokens of every program with a budget, also without stored turns

Change: a stream of a program with a budget reserves its tokens before it runs and settles what its events used; nothing else of it is stored. A stream that may be resumed is sent again while nothing has reached the caller.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -74,7 +74,8 @@
         const wasSent = failure.kind !== 'endpoint-failed' || failure.execution !== 'not-run';
         if (wasSent) attempts += 1;
         else connectionFailures += 1;
-        const mayRepeat = failure.execution === 'not-run' || route.kind === 'idempotent';
+        const isRepeatable = route.kind === 'idempotent' || route.isResumable;
+        const mayRepeat = failure.execution === 'not-run' || isRepeatable;
         const isExhausted =
           request.signal.aborted ||
           attempts >= route.maximumAttempts ||
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -251,7 +251,8 @@
   private async forward(request: CallerRequest, table: RouteTable): Promise<void> {
     const { route, callHeaders } = request;
     const { program } = callHeaders;
-    if (route.kind === 'stream' && route.retentionMs !== undefined && program) {
+    const isMetered = route.storesTurns || program?.tokenBudget !== undefined;
+    if (route.kind === 'stream' && program && isMetered) {
       await this.turns.forward(request, program, (name) => table.service(name));
       return;
     }
--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -34,7 +34,8 @@
   tokensPerEvent: number;
 }
 
-/** Forwards turns together with the stored inputs and outputs of the turns that they continue. */
+/** Forwards turns of programs and accounts their tokens. On a route that stores turns, a turn is sent
+ * together with the inputs and outputs of the turns that it continues. */
 export class TurnForwarder {
   private readonly options: TurnForwarderOptions;
 
@@ -55,8 +56,8 @@
       turn: callHeaders.requestId,
       tokens: callHeaders.maximumTokens,
       budget: program.tokenBudget ?? Infinity,
-      previous: callHeaders.previousTurn,
-      retentionMs: (route.retentionMs ?? 0) + RETENTION_MARGIN_MS,
+      previous: route.storesTurns ? callHeaders.previousTurn : undefined,
+      retentionMs: route.retentionMs + RETENTION_MARGIN_MS,
     };
     const chain = await this.options.turns.reserve(reservation);
     const tokensPerEvent = findService(service)?.engine?.tokensPerEvent ?? 1;
@@ -98,13 +99,24 @@
     const events = new EventReader();
     try {
       await relayStream(response, answer, headerCodec, (chunk) => events.read(chunk));
-      await turns.commit(createTurnRecord(turn, events, endpoint)).catch(throwNotStored);
+      await this.finish(turn, events, endpoint);
     } catch (error) {
       turns.settle(turn.reservation, events.startedCount * turn.tokensPerEvent);
       throw error;
     }
     response.end();
   }
+
+  /** Stores a completed turn, or only the tokens that it used if its route does not store turns. */
+  private async finish(turn: OpenTurn, events: EventReader, endpoint: Endpoint): Promise<void> {
+    const { turns } = this.options;
+    if (turn.request.route.storesTurns) {
+      await turns.commit(createTurnRecord(turn, events, endpoint)).catch(throwNotStored);
+      return;
+    }
+    // The answer doesn't wait for this: until it is stored, the larger reservation counts.
+    turns.settle(turn.reservation, events.startedCount * turn.tokensPerEvent);
+  }
 }
 
 function createTurnRecord(
--- a/packages/routing/src/route.ts
+++ b/packages/routing/src/route.ts
@@ -24,11 +24,12 @@
   destinations: Destination[];
   /** Maximum number of times that one call is sent; failed connections don't count. */
   maximumAttempts: number;
-  /**
-   * Time for which turns are stored so that later turns can continue them, in milliseconds;
-   * undefined if no turns are stored.
-   */
-  retentionMs: number | undefined;
+  /** Whether an interrupted stream may be resumed after its last event, by another run. */
+  isResumable: boolean;
+  /** Whether turns are stored so that later turns can continue them. */
+  storesTurns: boolean;
+  /** Time for which stored turns and the budget accounts of programs are kept, in milliseconds. */
+  retentionMs: number;
 }
 
 /** Properties of a service's model engine. */
