Supervise peers by calls and a ring of monitors instead of a mesh of heartbeats

Change: streams to keepers open for a call, are supervised while calls are in progress, and close when unused; a call without any frame closes a mute stream. A keeper probes the three that follow it in the ring and all others only before it changes the roster, counting only replies. KeeperMonitor learns from calls and probes only silent keepers. A program is refused at once when its own group has no majority; an entry is ready while nine tenths of a sample of groups have one. Groups are computed once for each roster and program.

--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -200,11 +200,17 @@
     message: 'this entry reaches enough keepers again',
     remedy: 'None needed.',
   },
+  keeperReachable: {
+    number: 712,
+    level: 'info',
+    message: 'a keeper is reachable again',
+    remedy: 'None needed.',
+  },
   keeperUnreachable: {
     number: 708,
     level: 'warn',
     message: 'a keeper is unreachable',
-    remedy: 'Check the host at `address` if this repeats.',
+    remedy: 'Check the host of the keeper if this repeats.',
   },
   configurationChanged: {
     number: 800,
--- a/packages/protocol/src/peerChannel.ts
+++ b/packages/protocol/src/peerChannel.ts
@@ -12,6 +12,7 @@
   EndpointReportSchema,
   type Frame,
   FrameSchema,
+  type Heartbeat,
   type Reply,
   ReplySchema,
   type Request,
@@ -19,7 +20,7 @@
 } from './gen/peer_pb';
 import { FrameQueue } from './frameQueue';
 
-/** Interval between heartbeats on a stream. */
+/** Interval between checks, and between heartbeats, of a supervised stream. */
 export const HEARTBEAT_INTERVAL_MS = 500;
 
 /**
@@ -31,9 +32,15 @@
 /** Messages are a few kilobytes and links are fast, so compression costs more than it saves. */
 export const WITHOUT_COMPRESSION = { acceptCompression: [] };
 
-/** A stream on which nothing is received for this long is closed. */
+/** A supervised stream on which nothing is received for this long is closed. */
 export const RECEIVE_TIMEOUT_MS = 2_000;
 
+/** A longer gap between two ticks means that this process was paused. */
+const MAXIMUM_TICK_GAP_MS = 2 * HEARTBEAT_INTERVAL_MS;
+
+/** When the peer has to be heard from: at all times, or only while calls are in progress. */
+export type Supervision = 'always' | 'during calls';
+
 /** Call that the peer sent, as passed to `PeerHandler.handle`. */
 export interface IncomingCall {
   /** Aborts when the peer cancels the call or the stream closes. */
@@ -71,6 +78,7 @@
   resolve(reply: Reply): void;
   reject(error: CallError): void;
   onItem: ((text: string) => void) | undefined;
+  startedAtMs: number;
   lastProgressAtMs: number;
   progressTimeoutMs: number;
 }
@@ -81,6 +89,10 @@
   clock: Clock;
   /** Name of the peer in error messages. */
   peer: string;
+  supervision?: Supervision;
+  /** Called when supervision starts; `tick` has to be called at every heartbeat interval until
+   * `isSupervised` is false. */
+  onSupervised?: () => void;
 }
 
 /** Body of a request to a peer. */
@@ -101,9 +113,18 @@
 
   private readonly incomingCalls = new Map<number, AbortController>();
 
+  private readonly closeListeners: (() => void)[] = [];
+
   private lastCallNumber = 0;
 
-  private readonly openedAtMs: number;
+  private readonly onSupervised: () => void;
+
+  private supervision: Supervision;
+
+  /** Start of the current supervision; silence before it does not count. */
+  private supervisedSinceMs: number;
+
+  private lastTickAtMs: number;
 
   private lastBatchAtMs: number | undefined;
 
@@ -113,11 +134,31 @@
 
   private closeError: CallError | undefined;
 
-  constructor({ handler, clock, peer }: PeerChannelOptions) {
+  constructor({
+    handler,
+    clock,
+    peer,
+    supervision = 'always',
+    onSupervised = () => undefined,
+  }: PeerChannelOptions) {
     this.handler = handler;
     this.clock = clock;
     this.peer = peer;
-    this.openedAtMs = clock.now();
+    this.supervision = supervision;
+    this.onSupervised = onSupervised;
+    this.supervisedSinceMs = clock.now();
+    this.lastTickAtMs = clock.now();
+  }
+
+  /** Whether the peer has to be heard from at present. */
+  get isSupervised(): boolean {
+    if (this.isClosed) return false;
+    return this.supervision === 'always' || this.isInUse;
+  }
+
+  /** Whether a call is in progress in either direction. */
+  get isInUse(): boolean {
+    return this.outgoingCalls.size > 0 || this.incomingCalls.size > 0;
   }
 
   /** True once the stream is closed; a closed channel can't be reopened. */
@@ -125,11 +166,6 @@
     return this.closeError !== undefined;
   }
 
-  /** Clock time of the last received batch, in milliseconds; undefined before the first one. */
-  get lastReceivedAtMs(): number | undefined {
-    return this.lastBatchAtMs;
-  }
-
   /**
    * Sends a request and resolves with the reply. Rejects with the `CallError` of the peer, or with
    * `connection-lost`, `cancelled` or `deadline-exceeded` (no progress).
@@ -139,6 +175,7 @@
     if (options.signal?.aborted) return Promise.reject(this.cancelledError('not-run'));
     this.lastCallNumber += 1;
     const number = this.lastCallNumber;
+    this.superviseCall();
     return new Promise<Reply>((resolve, reject) => {
       const { signal } = options;
       const onAbort = () => this.cancelCall(number, this.cancelledError('unknown'));
@@ -153,6 +190,7 @@
           reject(error);
         },
         onItem: options.onItem,
+        startedAtMs: this.clock.now(),
         lastProgressAtMs: this.clock.now(),
         progressTimeoutMs: options.progressTimeoutMs ?? Infinity,
       });
@@ -176,20 +214,31 @@
   }
 
   /**
-   * Called at every heartbeat interval: sends a heartbeat unless another frame was sent recently,
-   * times out stalled calls, and closes the stream if nothing was received for too long.
+   * Called at every heartbeat interval while the stream is supervised: sends a heartbeat unless
+   * another frame was sent recently, times out stalled calls, and closes a stream whose peer is
+   * silent.
    */
   tick(): void {
     const now = this.clock.now();
-    if (now - (this.lastBatchAtMs ?? this.openedAtMs) > RECEIVE_TIMEOUT_MS) {
+    const wasPaused = now - this.lastTickAtMs > MAXIMUM_TICK_GAP_MS;
+    this.lastTickAtMs = now;
+    if (!this.isSupervised) return;
+    if (now - this.lastSentAtMs > HEARTBEAT_SUPPRESSION_MS) this.sendHeartbeat();
+    if (wasPaused) {
+      // Frames that arrived during the pause are still unread.
+      this.supervisedSinceMs = now;
+      return;
+    }
+    if (now - this.expectedSinceMs > RECEIVE_TIMEOUT_MS) {
       this.close(`nothing was received for ${RECEIVE_TIMEOUT_MS} ms`);
       return;
     }
-    if (now - this.lastSentAtMs > HEARTBEAT_SUPPRESSION_MS) this.sendHeartbeat();
-    [...this.outgoingCalls].forEach(([number, call]) => {
-      if (now - call.lastProgressAtMs <= call.progressTimeoutMs) return;
-      this.cancelCall(number, this.noProgressError(call.progressTimeoutMs));
-    });
+    this.cancelStalledCalls(now);
+  }
+
+  /** Adds a listener that is called when the stream closes. */
+  onClose(listener: () => void): void {
+    this.closeListeners.push(listener);
   }
 
   /** Closes the stream: outgoing calls fail with execution `unknown`, incoming ones are aborted. */
@@ -202,6 +251,7 @@
     const calls = [...this.outgoingCalls.values()];
     this.outgoingCalls.clear();
     calls.forEach((call) => call.reject(this.connectionLostError('unknown')));
+    this.closeListeners.forEach((listener) => listener());
   }
 
   private receiveFrame(frame: Frame): void {
@@ -229,6 +279,9 @@
       case 'endpointReport':
         this.handler.handleReport(body.value);
         break;
+      case 'heartbeat':
+        this.receiveHeartbeat(body.value);
+        break;
       default:
         break;
     }
@@ -243,6 +296,7 @@
 
   private async serve(number: number, request: Request): Promise<void> {
     const controller = new AbortController();
+    this.superviseCall();
     this.incomingCalls.set(number, controller);
     const sendItem = (text: string) =>
       this.push({ call: number, body: { case: 'item', value: { text } } });
@@ -258,6 +312,40 @@
     }
   }
 
+  /** Time since which a frame of the peer is due. */
+  private get expectedSinceMs(): number {
+    return Math.max(this.lastBatchAtMs ?? 0, this.supervisedSinceMs);
+  }
+
+  private superviseCall(): void {
+    if (this.isInUse) return;
+    if (this.supervision === 'during calls') {
+      this.supervisedSinceMs = this.clock.now();
+      this.lastTickAtMs = this.clock.now();
+    }
+    this.onSupervised();
+  }
+
+  private cancelStalledCalls(now: number): void {
+    const stalled = [...this.outgoingCalls].filter(
+      ([, call]) => now - call.lastProgressAtMs > call.progressTimeoutMs,
+    );
+    const isMute = stalled.some(([, call]) => (this.lastBatchAtMs ?? -Infinity) < call.startedAtMs);
+    stalled.forEach(([number, call]) => {
+      this.cancelCall(number, this.noProgressError(call.progressTimeoutMs));
+    });
+    // A connection can go silent without a reset; a new one may work.
+    if (isMute) this.close('the peer sent nothing during a call');
+  }
+
+  private receiveHeartbeat({ permanent }: Heartbeat): void {
+    if (!permanent || this.supervision === 'always') return;
+    this.supervision = 'always';
+    this.supervisedSinceMs = this.clock.now();
+    this.lastTickAtMs = this.clock.now();
+    this.onSupervised();
+  }
+
   private cancelCall(number: number, error: CallError): void {
     const call = this.removeCall(number);
     if (!call) return;
@@ -273,9 +361,10 @@
 
   private sendHeartbeat(): void {
     this.heartbeatSequence += 1;
+    const permanent = this.supervision === 'always';
     this.push({
       call: 0,
-      body: { case: 'heartbeat', value: { sequence: this.heartbeatSequence } },
+      body: { case: 'heartbeat', value: { sequence: this.heartbeatSequence, permanent } },
     });
   }
 
--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -2,11 +2,12 @@
 import { createGrpcTransport } from '@connectrpc/connect-node';
 import { CallError, type Clock } from '@marjorampin/types';
 import { Peer, type Reply } from './gen/peer_pb';
+import { HeartbeatTimer } from './heartbeatTimer';
 import {
   type CallOptions,
-  HEARTBEAT_INTERVAL_MS,
   PeerChannel,
   type PeerHandler,
+  type Supervision,
   WITHOUT_COMPRESSION,
 } from './peerChannel';
 import { PeerSession } from './peerSession';
@@ -14,6 +15,8 @@
 
 const INITIAL_BACKOFF_MS = 50;
 const MAXIMUM_BACKOFF_MS = 2_000;
+/** A stream that is supervised only during calls is closed after this time without one. */
+const IDLE_TIMEOUT_MS = 60_000;
 
 /** Options of `PeerClient`. */
 export interface PeerClientOptions {
@@ -24,6 +27,9 @@
   clock: Clock;
   /** Mutual TLS; plain HTTP/2 when absent. */
   tls?: TlsFiles | undefined;
+  /** `always` keeps the stream open; `during calls` opens it for a call and closes it when it has
+   * not been used for a while. */
+  supervision?: Supervision;
 }
 
 /** Client that maintains one stream to a peer and reconnects with exponential backoff. */
@@ -32,51 +38,65 @@
 
   private channel: PeerChannel;
 
-  /** Time of the last batch received on an earlier stream; at first, the time of creation. */
-  private earlierReceivedAtMs: number;
+  private readonly heartbeat = new HeartbeatTimer(() => this.tick());
 
   private readonly stopController = new AbortController();
 
+  private wake: (() => void) | undefined;
+
+  private lastUsedAtMs: number;
+
   constructor(options: PeerClientOptions) {
     this.options = options;
-    this.earlierReceivedAtMs = options.clock.now();
+    this.lastUsedAtMs = options.clock.now();
     this.channel = this.openChannel();
     this.maintainStream();
   }
 
-  /** Milliseconds since the last batch arrived on any stream; before the first, since creation. */
-  get sinceReceivedMs(): number {
-    return this.options.clock.now() - (this.channel.lastReceivedAtMs ?? this.earlierReceivedAtMs);
-  }
-
   /**
    * Sends a request on the current stream and resolves with the reply. Rejects with a `CallError`,
    * immediately if the stream or the client is closed.
    */
   call(body: Parameters<PeerChannel['call']>[0], options: CallOptions = {}): Promise<Reply> {
     if (this.stopController.signal.aborted) return Promise.reject(this.closedError());
+    this.lastUsedAtMs = this.options.clock.now();
+    this.wake?.();
     return this.channel.call(body, options);
   }
 
   /** Closes the stream permanently; pending calls fail. */
   close(): void {
     this.stopController.abort();
+    this.heartbeat.stop();
     this.channel.close('the process is stopping');
+    this.wake?.();
+  }
+
+  private get isPermanent(): boolean {
+    return (this.options.supervision ?? 'always') === 'always';
   }
 
   private openChannel(): PeerChannel {
-    const { handler, clock, address } = this.options;
-    return new PeerChannel({ handler, clock, peer: address });
+    const { handler, clock, address, supervision = 'always' } = this.options;
+    if (this.isPermanent) this.heartbeat.start();
+    const onSupervised = () => this.heartbeat.start();
+    return new PeerChannel({ handler, clock, peer: address, supervision, onSupervised });
+  }
+
+  private tick(): boolean {
+    this.channel.tick();
+    return this.isPermanent || this.channel.isSupervised;
   }
 
   private async maintainStream(): Promise<void> {
     const { clock } = this.options;
     let backoffMs = INITIAL_BACKOFF_MS;
     while (!this.stopController.signal.aborted) {
+      if (!this.isPermanent && !this.channel.isInUse) await this.nextCall();
+      if (this.stopController.signal.aborted) return;
       const startedAtMs = clock.now();
       await this.runStream(this.channel);
       if (this.stopController.signal.aborted) return;
-      this.earlierReceivedAtMs = this.channel.lastReceivedAtMs ?? this.earlierReceivedAtMs;
       this.channel = this.openChannel();
       const wasStable = clock.now() - startedAtMs > MAXIMUM_BACKOFF_MS;
       backoffMs = wasStable ? INITIAL_BACKOFF_MS : Math.min(backoffMs * 2, MAXIMUM_BACKOFF_MS);
@@ -86,23 +106,27 @@
     }
   }
 
+  private nextCall(): Promise<void> {
+    return new Promise((resolve) => {
+      this.wake = () => {
+        this.wake = undefined;
+        resolve();
+      };
+    });
+  }
+
   /** Runs one stream until it ends; a new HTTP/2 session avoids reusing a dead connection. */
   private async runStream(channel: PeerChannel): Promise<void> {
     const { address, tls } = this.options;
     const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
     const controller = new AbortController();
-    const heartbeat = setInterval(() => {
-      channel.tick();
-      if (channel.isClosed) controller.abort();
-    }, HEARTBEAT_INTERVAL_MS);
-    const onStop = () => controller.abort();
-    this.stopController.signal.addEventListener('abort', onStop);
+    const stop = () => controller.abort();
+    this.stopController.signal.addEventListener('abort', stop);
+    channel.onClose(stop);
+    const idleCheck = this.isPermanent ? undefined : this.closeWhenIdle(channel);
     let session: PeerSession | undefined;
     try {
-      const openSession = new PeerSession({
-        authority: baseUrl,
-        tls: tls && readTlsFiles(tls),
-      });
+      const openSession = new PeerSession({ authority: baseUrl, tls: tls && readTlsFiles(tls) });
       session = openSession;
       const transport = createGrpcTransport({
         baseUrl,
@@ -117,12 +141,19 @@
     } catch (error) {
       channel.close(error instanceof Error ? error.message : String(error));
     } finally {
-      clearInterval(heartbeat);
-      this.stopController.signal.removeEventListener('abort', onStop);
+      clearInterval(idleCheck);
+      this.stopController.signal.removeEventListener('abort', stop);
       session?.abort();
     }
   }
 
+  private closeWhenIdle(channel: PeerChannel): NodeJS.Timeout {
+    return setInterval(() => {
+      const idleMs = this.options.clock.now() - this.lastUsedAtMs;
+      if (!channel.isInUse && idleMs > IDLE_TIMEOUT_MS) channel.close('the stream was not used');
+    }, IDLE_TIMEOUT_MS);
+  }
+
   private closedError(): CallError {
     const message = `connection to ${this.options.address} is closed; use another peer`;
     return new CallError({ kind: 'connection-lost', message, retryAfterMs: INITIAL_BACKOFF_MS });
--- a/packages/protocol/src/peerPool.ts
+++ b/packages/protocol/src/peerPool.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@marjorampin/types';
 import { PeerClient } from './peerClient';
-import type { CallOptions, PeerHandler, RequestBody } from './peerChannel';
+import type { CallOptions, PeerHandler, RequestBody, Supervision } from './peerChannel';
 import type { Reply } from './gen/peer_pb';
 import type { TlsFiles } from './tlsFiles';
 
@@ -11,12 +11,12 @@
   clock: Clock;
   /** Mutual TLS; plain HTTP/2 when absent. */
   tls?: TlsFiles | undefined;
+  /** When the peers have to be heard from; `during calls` opens streams only for calls. */
+  supervision?: Supervision;
 }
 
 /** Connection to one peer. */
 export interface PeerConnection {
-  /** Milliseconds since anything was received from the peer. */
-  readonly sinceReceivedMs: number;
   /** Sends a request and resolves with the reply; rejects with a `CallError`. */
   call(body: RequestBody, options?: CallOptions): Promise<Reply>;
 }
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -3,12 +3,8 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { Clock, PeerAddress } from '@marjorampin/types';
 import { type Batch, Peer } from './gen/peer_pb';
-import {
-  HEARTBEAT_INTERVAL_MS,
-  PeerChannel,
-  type PeerHandler,
-  WITHOUT_COMPRESSION,
-} from './peerChannel';
+import { HeartbeatTimer } from './heartbeatTimer';
+import { PeerChannel, type PeerHandler, WITHOUT_COMPRESSION } from './peerChannel';
 import { readTlsFiles, type TlsFiles } from './tlsFiles';
 
 /** Maximum size of a batch, checked before it is parsed. */
@@ -35,7 +31,7 @@
 
   private readonly openChannels = new Set<PeerChannel>();
 
-  private readonly heartbeatTimer: NodeJS.Timeout;
+  private readonly heartbeat = new HeartbeatTimer(() => this.tick());
 
   private isClosed = false;
 
@@ -56,7 +52,6 @@
       session.on('error', () => session.destroy());
       session.on('close', () => this.sessions.delete(session));
     });
-    this.heartbeatTimer = setInterval(() => this.tick(), HEARTBEAT_INTERVAL_MS);
   }
 
   /** Starts listening; resolves with the address and the actual port. */
@@ -76,7 +71,7 @@
 
   /** Closes all streams, stops listening and resolves once the server is closed. */
   async close(): Promise<void> {
-    clearInterval(this.heartbeatTimer);
+    this.heartbeat.stop();
     this.openChannels.forEach((channel) => channel.close('the process is stopping'));
     // Lets the last frames be sent before the sockets are destroyed.
     await new Promise((resolve) => {
@@ -90,16 +85,22 @@
     await closed;
   }
 
-  private tick(): void {
+  /** Checks all channels; returns whether one of them is still supervised. */
+  private tick(): boolean {
     this.openChannels.forEach((channel) => channel.tick());
+    return [...this.openChannels].some((channel) => channel.isSupervised);
   }
 
   private async *exchange(batches: AsyncIterable<Batch>): AsyncIterable<Batch> {
     const { handler, clock } = this.options;
-    const channel = new PeerChannel({ handler, clock, peer: 'a connected peer' });
+    const channel = new PeerChannel({
+      handler,
+      clock,
+      peer: 'a connected peer',
+      supervision: 'during calls',
+      onSupervised: () => this.heartbeat.start(),
+    });
     this.openChannels.add(channel);
-    // Sends a heartbeat immediately, so that the peer knows that this process responds.
-    channel.tick();
     receiveAll(channel, batches);
     try {
       yield* channel.outgoing;
--- a/packages/protocol/src/peerSession.ts
+++ b/packages/protocol/src/peerSession.ts
@@ -4,6 +4,9 @@
 
 type SessionManager = NonNullable<GrpcTransportOptions['sessionManager']>;
 
+/** Time to connect; later attempts of the system to connect would be too far apart. */
+const CONNECT_TIMEOUT_MS = 600;
+
 const ignoreProgress = () => undefined;
 
 /** Options of `PeerSession`. */
@@ -54,9 +57,18 @@
     return new Promise((resolve, reject) => {
       const session = http2.connect(this.authority, this.tls);
       this.session = session;
+      const timer = setTimeout(() => {
+        session.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
+      }, CONNECT_TIMEOUT_MS);
       session.on('error', (error) => reject(this.connectionError(error.message)));
-      session.once('close', () => reject(this.connectionError('the connection closed')));
-      session.once('connect', () => resolve(session));
+      session.once('close', () => {
+        clearTimeout(timer);
+        reject(this.connectionError('the connection closed'));
+      });
+      session.once('connect', () => {
+        clearTimeout(timer);
+        resolve(session);
+      });
     });
   }
 
--- a/packages/turns/src/__tests__/simulatedKeepers.ts
+++ b/packages/turns/src/__tests__/simulatedKeepers.ts
@@ -136,7 +136,6 @@
   peersOf(client: string): PeerConnections {
     return {
       get: (address): PeerConnection => ({
-        sinceReceivedMs: 0,
         call: (body) => this.send(client, address, body ?? { case: undefined }),
       }),
       drop: () => undefined,
--- a/packages/turns/src/callQuorum.ts
+++ b/packages/turns/src/callQuorum.ts
@@ -16,6 +16,8 @@
   hedgeMs: number;
   timeoutMs: number;
   clock: Clock;
+  /** Receives the keepers that have not replied when the delay `hedgeMs` is over. */
+  onDelay?(keepers: Keeper[]): void;
   /** Sends the request to one keeper; a rejection is a failure of that keeper. */
   call(keeper: Keeper, index: number): Promise<Reply>;
 }
@@ -27,11 +29,13 @@
   hedgeMs,
   timeoutMs,
   clock,
+  onDelay = () => undefined,
   call,
 }: QuorumOptions): Promise<Reply[]> {
   return new Promise((resolve, reject) => {
     const replies: Reply[] = [];
     const timers: (() => void)[] = [];
+    const settled = new Set<Keeper>();
     let called = 0;
     let failed = 0;
     const finish = (settle: () => void) => {
@@ -44,7 +48,8 @@
       if (!keeper) return;
       called += 1;
       try {
-        replies.push(await call(keeper, index));
+        const reply = await call(keeper, index).finally(() => settled.add(keeper));
+        replies.push(reply);
         if (replies.length === needed) finish(() => resolve([...replies]));
       } catch (error) {
         failed += 1;
@@ -62,6 +67,7 @@
       return;
     }
     const callRest = () => {
+      onDelay(group.slice(0, called).filter((keeper) => !settled.has(keeper)));
       while (called < group.length) callNext();
     };
     const onTimeout = () => {
--- a/packages/turns/src/keeperMonitor.ts
+++ b/packages/turns/src/keeperMonitor.ts
@@ -1,83 +1,133 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { Keeper, Roster } from '@marjorampin/protocol';
-import type { Clock } from '@marjorampin/types';
+import { CallError, type Clock } from '@marjorampin/types';
+import { quorumSize } from './keeperGroup';
 
-/** Interval between two checks of the keepers. */
-const CHECK_INTERVAL_MS = 400;
-/** Above the longest interval between two frames of a live peer, which is the sum of the peer
- * protocol's `HEARTBEAT_INTERVAL_MS` and `HEARTBEAT_SUPPRESSION_MS`. */
-const UNRESPONSIVE_AFTER_MS = 1_000;
+/** Interval between probes of unresponsive keepers. */
+const PROBE_INTERVAL_MS = 500;
+/** Maximum number of keepers probed at the same time. */
+const PROBES_PER_ROUND = 8;
+/** Rounds after which silent keepers are no longer probed; the next call finds out their state. */
+const MAXIMUM_ROUNDS = 60;
+/** Errors that show that nothing was heard from a keeper; others are replies. */
+const SILENCE_KINDS = new Set(['connection-lost', 'deadline-exceeded']);
 
 /** Options of `KeeperMonitor`. */
 export interface KeeperMonitorOptions {
   clock: Clock;
   log: EventLog;
-  /** Number of keepers that may be unresponsive while turns are still served. */
-  lossLimit: number;
   /** Returns the newest roster, or undefined before the first one. */
   roster(): Roster | undefined;
-  /** Returns the milliseconds since the last frame from a keeper. */
-  sinceReceivedMs(keeper: Keeper): number;
+  /** Called when a keeper becomes unresponsive or responsive again. */
+  onChange(): void;
+  /** Resolves when a keeper replies and rejects when it is silent. */
+  probe(keeper: Keeper): Promise<unknown>;
 }
 
-/** Monitors whether this process reaches enough keepers to serve turns. */
+/**
+ * Tracks which keepers respond, from the outcomes of this process's calls. Only keepers that failed
+ * to respond are probed, so a process without calls or failures sends nothing.
+ */
 export class KeeperMonitor {
   private readonly options: KeeperMonitorOptions;
 
-  private readonly stopped = new AbortController();
+  private readonly unresponsive = new Set<string>();
 
-  private unresponsive = new Set<string>();
+  private readonly slow = new Set<string>();
 
-  private checkedAtMs = -Infinity;
+  private isProbing = false;
 
-  private disconnected = false;
+  private isStopped = false;
 
   constructor(options: KeeperMonitorOptions) {
     this.options = options;
   }
 
-  /** Whether too few keepers respond to serve turns: more than `lossLimit` are unresponsive. */
-  get isDisconnected(): boolean {
-    return this.disconnected;
+  /** Records that a keeper replied. */
+  recordReply(id: string): void {
+    this.slow.delete(id);
+    if (!this.unresponsive.delete(id)) return;
+    this.options.log.write('keeperReachable', { keeper: id });
+    this.options.onChange();
   }
 
-  /** Returns whether a keeper was unresponsive at the last check. */
+  /** Records that a keeper has not replied yet, although most keepers would have. */
+  recordDelay(id: string): void {
+    this.slow.add(id);
+  }
+
+  /** Records a failed call; the keeper counts as unresponsive if nothing was heard from it. */
+  recordFailure(id: string, error: unknown): void {
+    if (!(error instanceof CallError) || !SILENCE_KINDS.has(error.kind)) {
+      this.recordReply(id);
+      return;
+    }
+    if (this.unresponsive.has(id)) return;
+    this.unresponsive.add(id);
+    this.options.log.write('keeperUnreachable', { keeper: id, error: error.message });
+    this.options.onChange();
+    if (!this.isProbing) this.probeUnresponsive();
+  }
+
+  /** Returns whether a keeper's last call failed without anything heard from it. */
   isUnresponsive(id: string): boolean {
     return this.unresponsive.has(id);
   }
 
-  /** Checks the keepers periodically until `stop`. */
-  async run(): Promise<void> {
-    const { clock } = this.options;
-    while (!this.stopped.signal.aborted) {
-      this.check();
-      await clock.sleep(CHECK_INTERVAL_MS, this.stopped.signal).catch(() => undefined);
-    }
+  /** Returns the order in which to call a keeper: 0 first. */
+  callRank(id: string): number {
+    if (this.unresponsive.has(id)) return 2;
+    return this.slow.has(id) ? 1 : 0;
+  }
+
+  /** Returns whether a majority of a group responds. */
+  hasMajority(group: Keeper[]): boolean {
+    const responding = group.filter(({ id }) => !this.unresponsive.has(id));
+    return responding.length >= quorumSize(group.length);
   }
 
-  /** Ends the periodic checks. */
+  /** Ends the probes. */
   stop(): void {
-    this.stopped.abort();
+    this.isStopped = true;
   }
 
-  /** Checks every keeper once. */
-  check(): void {
-    const { roster, lossLimit, log, sinceReceivedMs, clock } = this.options;
-    const lateMs = clock.now() - this.checkedAtMs - CHECK_INTERVAL_MS;
-    this.checkedAtMs = clock.now();
-    // After this process was paused, frames that keepers sent in the meantime are still unread.
-    if (lateMs > CHECK_INTERVAL_MS && lateMs < Infinity) return;
-    const keepers = roster()?.keepers ?? [];
-    const unresponsive = keepers.filter(
-      (keeper) => sinceReceivedMs(keeper) > UNRESPONSIVE_AFTER_MS,
-    );
-    this.unresponsive = new Set(unresponsive.map(({ id }) => id));
-    const isDisconnected = unresponsive.length > lossLimit;
-    if (isDisconnected !== this.disconnected) {
-      log.write(isDisconnected ? 'keepersLost' : 'keepersRegained', {
-        silent: unresponsive.length,
-      });
+  private async probeUnresponsive(): Promise<void> {
+    const { clock, roster, probe } = this.options;
+    this.isProbing = true;
+    for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
+      if (this.unresponsive.size === 0 || this.isStopped) break;
+      await clock.sleep(PROBE_INTERVAL_MS);
+      const keepers = new Map((roster()?.keepers ?? []).map((keeper) => [keeper.id, keeper]));
+      this.forgetRemoved(keepers);
+      const probed = [...this.unresponsive].slice(0, PROBES_PER_ROUND);
+      await Promise.all(
+        probed.map(async (id) => {
+          const keeper = keepers.get(id);
+          if (!keeper) return;
+          // A silent keeper moves to the end of the order, so that all of them are probed in turn.
+          await probe(keeper).then(
+            () => this.recordReply(id),
+            () => this.moveToEnd(id),
+          );
+        }),
+      );
     }
-    this.disconnected = isDisconnected;
+    this.isProbing = false;
+    this.unresponsive.forEach((id) => this.slow.add(id));
+    this.unresponsive.clear();
+    this.options.onChange();
+  }
+
+  private moveToEnd(id: string): void {
+    if (this.unresponsive.delete(id)) this.unresponsive.add(id);
+  }
+
+  private forgetRemoved(keepers: Map<string, Keeper>): void {
+    [...this.unresponsive, ...this.slow]
+      .filter((id) => !keepers.has(id))
+      .forEach((id) => {
+        this.unresponsive.delete(id);
+        this.slow.delete(id);
+      });
   }
 }
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -99,7 +99,7 @@
     events.forEach((event) => replayEvent(this.table, event, clock));
     const handler = await this.createHandler();
     this.handler = handler;
-    this.peers = new PeerPool({ handler, clock });
+    this.peers = new PeerPool({ handler, clock, supervision: 'during calls' });
     this.server = new PeerServer({ address, handler, clock });
     const { host, port } = await this.server.listen();
     this.rosterMaintainer = new RosterMaintainer({
@@ -108,6 +108,7 @@
       rosterWatch: this.rosterWatch,
       retirement: this.options.retirement,
       peers: this.peers,
+      hash: await loadHash(),
       clock,
       log,
       adopt: (roster) => handler.adopt(roster),
--- a/packages/turns/src/rosterMaintainer.ts
+++ b/packages/turns/src/rosterMaintainer.ts
@@ -1,5 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import type { EventLog } from '@marjorampin/logging';
+import { type Hash, MonitorRing } from '@marjorampin/membership';
 import { type Keeper, KeeperSchema, type PeerPool, type Roster } from '@marjorampin/protocol';
 import type { KeyValueStore, WatchedPrefix } from '@marjorampin/store';
 import type { Clock } from '@marjorampin/types';
@@ -8,6 +9,9 @@
 /** Interval between two rounds of probes and roster checks. */
 const ROUND_INTERVAL_MS = 1_000;
 const PROBE_TIMEOUT_MS = 800;
+/** Delay before a write that met another change is repeated; random, because all keepers of a new
+ * deployment join at the same time. */
+const MAXIMUM_CONFLICT_DELAY_MS = 300;
 /** Time without a probe reply after which a keeper is removed; longer than a restart takes. */
 const REMOVAL_AFTER_MS = 4_000;
 
@@ -30,6 +34,7 @@
   rosterWatch: WatchedPrefix;
   retirement: RetirementOrders;
   peers: PeerPool;
+  hash: Hash;
   clock: Clock;
   log: EventLog;
   /** Receives each roster that is read or written. */
@@ -38,12 +43,17 @@
   areOthersRestored(roster: Roster): Promise<boolean>;
 }
 
-/** Keeps this keeper in the roster, removes unresponsive ones, and leaves on a retirement order. */
+/** Keeps this keeper in the roster, removes unresponsive ones that it monitors, and leaves on a retirement order. */
 export class RosterMaintainer {
   private readonly options: RosterMaintainerOptions;
 
+  /** Clock time of the last reply of each monitored keeper, at first of the first probe. */
   private readonly lastReplyAtMs = new Map<string, number>();
 
+  private ring: { keepers: Keeper[]; monitors: MonitorRing<Keeper> } | undefined;
+
+  private parsed: { version: number; roster: Roster | undefined } | undefined;
+
   private readonly stopped = new AbortController();
 
   private hasRetired = false;
@@ -58,12 +68,12 @@
     rosterWatch.onChange(() => this.adoptStored());
     this.adoptStored();
     while (!this.stopped.signal.aborted) {
-      try {
-        await this.runRound();
-      } catch (error) {
+      const isDone = await this.runRound().catch((error: unknown) => {
         log.write('rosterRoundFailed', { error: String(error) });
-      }
-      await clock.sleep(ROUND_INTERVAL_MS, this.stopped.signal).catch(() => undefined);
+        return true;
+      });
+      const delayMs = isDone ? ROUND_INTERVAL_MS : Math.random() * MAXIMUM_CONFLICT_DELAY_MS;
+      await clock.sleep(delayMs, this.stopped.signal).catch(() => undefined);
     }
   }
 
@@ -73,8 +83,12 @@
   }
 
   private storedRoster(): Roster | undefined {
-    const value = this.options.rosterWatch.get(ROSTER_KEY);
-    return value && parseRoster(value.value, value.version);
+    const stored = this.options.rosterWatch.get(ROSTER_KEY);
+    if (!stored) return undefined;
+    if (this.parsed?.version !== stored.version) {
+      this.parsed = { version: stored.version, roster: parseRoster(stored.value, stored.version) };
+    }
+    return this.parsed.roster;
   }
 
   private adoptStored(): void {
@@ -82,27 +96,63 @@
     if (roster) this.options.adopt(roster);
   }
 
-  private async runRound(): Promise<void> {
+  /** Runs one round; returns false if the roster has to be written again soon. */
+  private async runRound(): Promise<boolean> {
     const roster = this.storedRoster();
-    if (this.hasRetired) return;
+    if (this.hasRetired) return true;
     await this.retireIfOrdered(roster);
-    if (this.hasRetired) return;
+    if (this.hasRetired) return true;
     const keepers = roster?.keepers ?? [];
+    const unresponsive = await this.probeMonitored(keepers);
+    const remaining = keepers.filter(({ id }) => !unresponsive.has(id));
+    const changed = this.withSelf(remaining);
+    if (sameKeepers(changed, keepers)) return true;
+    // A keeper that reaches no majority neither joins the roster nor removes others from it.
     const others = keepers.filter(({ id }) => id !== this.options.self.id);
     const responding = await this.countResponding(others);
-    // A keeper that reaches no majority neither joins the roster nor removes others from it.
-    if (others.length > 0 && (1 + responding) * 2 <= 1 + others.length) return;
-    const changed = this.withSelf(this.withoutUnresponsive(keepers, responding));
-    if (sameKeepers(changed, keepers)) return;
-    await this.write(changed, roster?.version ?? 0);
+    if (others.length > 0 && (1 + responding) * 2 <= 1 + others.length) return true;
+    if (!(await this.write(changed, roster?.version ?? 0))) return false;
+    unresponsive.forEach((keeper) => {
+      const answering = responding;
+      this.options.log.write('keeperRemoved', { keeper, silentMs: REMOVAL_AFTER_MS, answering });
+    });
+    return true;
   }
 
-  /** Probes keepers and returns how many reply. */
+  /** Probes the keepers that this one monitors; returns those without a reply for too long. */
+  private async probeMonitored(keepers: Keeper[]): Promise<Set<string>> {
+    const { self, clock } = this.options;
+    const monitored = this.ringOf(keepers).monitoredBy(self.id);
+    const ids = new Set(monitored.map(({ id }) => id));
+    [...this.lastReplyAtMs.keys()]
+      .filter((id) => !ids.has(id))
+      .forEach((id) => {
+        this.lastReplyAtMs.delete(id);
+      });
+    await Promise.all(
+      monitored.map(async (keeper) => {
+        // The time of silence counts from the first probe.
+        if (!this.lastReplyAtMs.has(keeper.id)) this.lastReplyAtMs.set(keeper.id, clock.now());
+        if (await this.responds(keeper)) this.lastReplyAtMs.set(keeper.id, clock.now());
+      }),
+    );
+    const now = clock.now();
+    const silent = [...this.lastReplyAtMs].filter(([, atMs]) => now - atMs >= REMOVAL_AFTER_MS);
+    return new Set(silent.map(([id]) => id));
+  }
+
+  private ringOf(keepers: Keeper[]): MonitorRing<Keeper> {
+    if (this.ring?.keepers !== keepers) {
+      const { hash } = this.options;
+      this.ring = { keepers, monitors: new MonitorRing({ members: keepers, hash }) };
+    }
+    return this.ring.monitors;
+  }
+
+  /** Probes all other keepers once and returns how many reply. */
   private async countResponding(others: Keeper[]): Promise<number> {
-    await Promise.all(others.map((other) => this.probe(other)));
-    const now = this.options.clock.now();
-    return others.filter(({ id }) => now - (this.lastReplyAtMs.get(id) ?? 0) < ROUND_INTERVAL_MS)
-      .length;
+    const replies = await Promise.all(others.map((other) => this.responds(other)));
+    return replies.filter(Boolean).length;
   }
 
   /** Returns the keepers with this keeper's current roster record, sorted by id. */
@@ -115,27 +165,16 @@
     return [...others, current].sort((a, b) => a.id.localeCompare(b.id));
   }
 
-  /** Returns the keepers without those that replied to no probe for `REMOVAL_AFTER_MS`. */
-  private withoutUnresponsive(keepers: Keeper[], responding: number): Keeper[] {
-    const { self, clock, log } = this.options;
-    const now = clock.now();
-    return keepers.filter(({ id }) => {
-      if (id === self.id || now - (this.lastReplyAtMs.get(id) ?? 0) < REMOVAL_AFTER_MS) return true;
-      log.write('keeperRemoved', { keeper: id, silentMs: REMOVAL_AFTER_MS, answering: responding });
-      return false;
-    });
-  }
-
-  private async probe({ id, address }: Keeper): Promise<void> {
-    const { peers, clock, self } = this.options;
-    if (!this.lastReplyAtMs.has(id)) this.lastReplyAtMs.set(id, clock.now());
-    const timeout = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+  /** Probes a keeper and returns whether it replies in time. */
+  private async responds({ address }: Keeper): Promise<boolean> {
+    const { peers, self } = this.options;
+    const body = { case: 'probe' as const, value: { sender: self.id } };
     try {
-      const body = { case: 'probe' as const, value: { sender: self.id } };
-      await peers.get(address).call(body, { signal: timeout });
-      this.lastReplyAtMs.set(id, clock.now());
+      await peers.get(address).call(body, { progressTimeoutMs: PROBE_TIMEOUT_MS });
+      return true;
     } catch {
-      // Expected if the keeper is down; `withoutUnresponsive` checks the time of its last reply.
+      // Expected if the keeper is down; the callers count the silence.
+      return false;
     }
   }
 
@@ -154,14 +193,14 @@
   private async write(keepers: Keeper[], expectedVersion: number): Promise<boolean> {
     const { store, rosterWatch, adopt, log } = this.options;
     const written = await writeRoster(store, keepers, expectedVersion);
-    if (written.err) {
-      log.write('rosterWriteFailed', { kind: written.val.kind, expectedVersion });
-      return false;
-    }
     const stored = await store.get(ROSTER_KEY);
     if (stored.ok && stored.val) rosterWatch.applyWrite(stored.val);
     const roster = this.storedRoster();
     if (roster) adopt(roster);
+    if (written.err) {
+      log.write('rosterWriteFailed', { kind: written.val.kind, expectedVersion });
+      return false;
+    }
     log.write('rosterChanged', { version: written.val, keepers: keepers.length });
     return true;
   }
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -18,7 +18,8 @@
 import { keepersUnavailable } from './keepersUnavailable';
 import { callQuorum, QUORUM_TIMEOUT_MS } from './callQuorum';
 import { mergeReservations } from './programTable';
-import { activeKeepers, groupOf, quorumSize } from './keeperGroup';
+import { GroupTable } from './groupTable';
+import { activeKeepers, quorumSize } from './keeperGroup';
 
 /** Delay before the remaining keepers of a group are called too. A responsive keeper replies sooner,
  * as the delay covers several round trips and syncs. */
@@ -31,6 +32,12 @@
 const MAXIMUM_SETTLE_ATTEMPTS = 6;
 const SETTLE_RETRY_DELAY_MS = 250;
 
+/** Share of the programs that an entry must be able to serve to receive new connections. */
+const READY_SHARE = 0.9;
+const PROBE: RequestBody = { case: 'probe', value: {} };
+/** Timeout of a probe; well above the time of a reply from a busy keeper. */
+const PROBE_TIMEOUT_MS = 500;
+
 /** Tokens that a turn reserves before it runs. */
 export interface TurnReservation {
   program: string;
@@ -50,7 +57,7 @@
   hash: Hash;
   /** Number of keepers whose disks may be lost at once. */
   lossLimit: number;
-  /** Failure domain of this process; its keepers are called first. */
+  /** Failure domain of this process; its keepers are called first among responsive ones. */
   domain: string;
   clock: Clock;
   log: EventLog;
@@ -69,7 +76,10 @@
 
   private readonly cache: TurnCache;
 
-  private roster: Roster | undefined;
+  private groups: GroupTable | undefined;
+
+  /** Whether a majority responds in nearly all groups. */
+  private isAvailable = true;
 
   private readonly monitor: KeeperMonitor;
 
@@ -81,38 +91,40 @@
     this.monitor = new KeeperMonitor({
       clock,
       log,
-      lossLimit,
       roster: () => this.roster,
-      sinceReceivedMs: ({ address }) => peers.get(address).sinceReceivedMs,
+      onChange: () => this.updateAvailability(),
+      probe: ({ address }) =>
+        peers.get(address).call(PROBE, { progressTimeoutMs: PROBE_TIMEOUT_MS }),
     });
     this.reader = new TurnReader({ peers, lossLimit, adopt: (roster) => this.adopt(roster) });
     this.cache = new TurnCache(options.cacheBytes ?? DEFAULT_CACHE_BYTES);
   }
 
-  /** Replaces the roster if the given one is newer, and connects to its keepers. */
+  /** Newest roster, or undefined before the first one. */
+  get roster(): Roster | undefined {
+    return this.groups?.roster;
+  }
+
+  /** Replaces the roster if the given one is newer. */
   adopt(roster: Roster): void {
     if (this.roster && this.roster.version >= roster.version) return;
     const addresses = new Set(roster.keepers.map(({ address }) => address));
     this.roster?.keepers
       .filter(({ address }) => !addresses.has(address))
       .forEach(({ address }) => this.options.peers.drop(address));
-    addresses.forEach((address) => this.options.peers.get(address));
-    this.roster = roster;
+    const { lossLimit, hash } = this.options;
+    this.groups = new GroupTable({ roster, lossLimit, hash });
+    this.updateAvailability();
   }
 
-  /** Monitors the connections to the keepers until `stop`. */
-  async run(): Promise<void> {
-    await this.monitor.run();
-  }
-
-  /** Stops monitoring the connections. */
+  /** Stops probing unresponsive keepers. */
   stop(): void {
     this.monitor.stop();
   }
 
-  /** Whether a roster is available and enough of its keepers respond. */
+  /** Whether nearly all programs can be served: a majority of their group responds. */
   get isReady(): boolean {
-    return this.roster !== undefined && !this.monitor.isDisconnected;
+    return this.groups !== undefined && this.isAvailable;
   }
 
   /**
@@ -121,6 +133,10 @@
    * not run.
    */
   async reserve(request: TurnReservation): Promise<TurnRecord[]> {
+    // Fails without retries, because the caller may reach the keepers through another entry.
+    if (!this.monitor.hasMajority(this.groupOf(request.program))) {
+      throw keepersUnavailable('this entry reaches too few of the keepers of the program');
+    }
     try {
       return await this.reserveAndRead(request);
     } catch (error) {
@@ -167,8 +183,6 @@
   }
 
   private async reserveAndRead(request: TurnReservation): Promise<TurnRecord[]> {
-    // Fails without retries, because the caller may reach the keepers through another entry.
-    if (this.monitor.isDisconnected) throw keepersUnavailable('this entry reaches too few keepers');
     const { previous } = request;
     const cached = previous === undefined ? [] : this.cache.chain(previous);
     const replies = await this.reserveAtQuorum(request, cached === undefined);
@@ -228,36 +242,42 @@
     const { clock } = this.options;
     const retryUntilMs = clock.now() + QUORUM_RETRY_TIMEOUT_MS;
     while (true) {
-      const roster = this.currentRoster();
+      const { version } = this.currentRoster();
       try {
-        return await this.sendToGroup(roster, program, bodyFor, isExpected);
+        return await this.sendToGroup(version, program, bodyFor, isExpected);
       } catch (error) {
         if (clock.now() >= retryUntilMs) throw error;
-        const hasNewer = (this.roster?.version ?? 0) > roster.version;
+        const hasNewer = (this.roster?.version ?? 0) > version;
         if (!hasNewer) await clock.sleep(QUORUM_RETRY_DELAY_MS);
       }
     }
   }
 
   private sendToGroup(
-    roster: Roster,
+    rosterVersion: number,
     program: string,
     bodyFor: (index: number) => RequestFactory,
     isExpected: (reply: Reply) => boolean,
   ): Promise<Reply[]> {
-    const { peers, hash, lossLimit, clock } = this.options;
-    const group = this.sortByPreference(groupOf(roster, program, { lossLimit, hash }));
+    const { peers, clock } = this.options;
+    const group = this.sortByPreference(this.groupOf(program));
     return callQuorum({
       group,
       needed: quorumSize(group.length),
       hedgeMs: HEDGE_MS,
       timeoutMs: QUORUM_TIMEOUT_MS,
       clock,
+      onDelay: (delayed) => delayed.forEach(({ id }) => this.monitor.recordDelay(id)),
       call: async (keeper, index) => {
-        const body = bodyFor(index)(roster.version);
+        const body = bodyFor(index)(rosterVersion);
         const reply = await peers
           .get(keeper.address)
-          .call(body, { progressTimeoutMs: QUORUM_TIMEOUT_MS });
+          .call(body, { progressTimeoutMs: QUORUM_TIMEOUT_MS })
+          .catch((error: unknown) => {
+            this.monitor.recordFailure(keeper.id, error);
+            throw error;
+          });
+        this.monitor.recordReply(keeper.id);
         if (reply.body.case === 'newerRoster') this.adopt(reply.body.value);
         if (isExpected(reply)) return reply;
         throw new Error(`keeper ${keeper.id} is not ready (reply: ${reply.body.case ?? 'empty'})`);
@@ -265,11 +285,26 @@
     });
   }
 
+  private updateAvailability(): void {
+    const sample = this.groups?.sample ?? [];
+    const available = sample.filter((group) => this.monitor.hasMajority(group)).length;
+    const isAvailable = available >= sample.length * READY_SHARE;
+    if (isAvailable === this.isAvailable) return;
+    this.isAvailable = isAvailable;
+    const lostShare = 1 - available / sample.length;
+    this.options.log.write(isAvailable ? 'keepersRegained' : 'keepersLost', { lostShare });
+  }
+
+  private groupOf(program: string): Keeper[] {
+    this.currentRoster();
+    return this.groups?.groupOf(program) ?? [];
+  }
+
   /** Sorts unresponsive keepers last, and keepers of the same failure domain before others. */
   private sortByPreference(group: Keeper[]): Keeper[] {
     const { domain } = this.options;
     const cost = (keeper: Keeper) =>
-      (this.monitor.isUnresponsive(keeper.id) ? 2 : 0) + (keeper.domain === domain ? 0 : 1);
+      2 * this.monitor.callRank(keeper.id) + (keeper.domain === domain ? 0 : 1);
     return group
       .map((keeper) => ({ keeper, cost: cost(keeper) }))
       .sort((a, b) => a.cost - b.cost)
