Read the store once for each failure domain and poll with backoff

RelayedStore asks the first keeper of the domain, reads directly when it fails and asks the next one later. Failed polls back off up to the interval.

--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -200,6 +200,12 @@
     message: 'this entry reaches enough keepers again',
     remedy: 'None needed.',
   },
+  relayFailed: {
+    number: 713,
+    level: 'warn',
+    message: 'a keeper could not list the values of the store; they are read directly',
+    remedy: 'Check the connection of the keeper to the store if this repeats.',
+  },
   keeperReachable: {
     number: 712,
     level: 'info',
--- a/packages/store/src/watchedPrefix.ts
+++ b/packages/store/src/watchedPrefix.ts
@@ -2,7 +2,7 @@
 import type { Changes, KeyValueStore, StoredValue } from './keyValueStore';
 
 const WATCH_WAIT_MS = 30_000;
-/** Delay after a failed request; avoids a tight loop when the store rejects requests immediately. */
+/** Delay after a failed request, doubled up to the interval while polls fail; avoids a tight loop when the store rejects requests immediately. */
 export const RETRY_DELAY_MS = 100;
 
 /** Options of `WatchedPrefix`. */
@@ -91,8 +91,11 @@
 
   private async poll(intervalMs: number): Promise<void> {
     const { clock } = this.options;
+    let retryDelayMs = RETRY_DELAY_MS;
     while (!this.stopped.signal.aborted) {
-      const delayMs = (await this.list()) ? intervalMs : RETRY_DELAY_MS;
+      const isListed = await this.list();
+      const delayMs = isListed ? intervalMs : Math.min(retryDelayMs, intervalMs);
+      retryDelayMs = isListed ? RETRY_DELAY_MS : retryDelayMs * 2;
       await clock.sleep(delayMs, this.stopped.signal).catch(() => undefined);
     }
   }
--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -74,6 +74,7 @@
       isFirstStart,
       lossLimit: 1,
       store: this.store,
+      pollIntervalMs: 20,
       retirement: orders,
       clock,
       log: this.log,
--- a/packages/turns/src/__tests__/simulatedKeepers.ts
+++ b/packages/turns/src/__tests__/simulatedKeepers.ts
@@ -12,7 +12,8 @@
   type Roster,
   RosterSchema,
 } from '@marjorampin/protocol';
-import { CallError, type Clock } from '@marjorampin/types';
+import { StoreError } from '@marjorampin/store';
+import { CallError, type Clock, Err } from '@marjorampin/types';
 import type fc from 'fast-check';
 import { KeeperHandler } from '../keeperHandler';
 import { ProgramTable } from '../programTable';
@@ -34,6 +35,9 @@
 /** Ids of all keepers. */
 export const KEEPERS = ['a', 'b', 'c'];
 
+const unavailable = () =>
+  new StoreError({ kind: 'unavailable', message: 'the simulation has no store' });
+
 /** A disk that loses what was not synced when the power fails. */
 class SimulatedDisk {
   synced: KeptEvent[] = [];
@@ -231,7 +235,9 @@
     const table = new ProgramTable();
     disk.synced.forEach((event) => replayEvent(table, event, this.clock));
     const { clock, hash } = this;
-    return new KeeperHandler({ table, durableLog: disk, clock, hash, lossLimit: LOSS_LIMIT });
+    const listValues = async () => Err(unavailable());
+    const lossLimit = LOSS_LIMIT;
+    return new KeeperHandler({ table, durableLog: disk, clock, hash, lossLimit, listValues });
   }
 
   private async restart(id: string, keeper: SimulatedKeeper): Promise<void> {
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -7,6 +7,8 @@
 export * from './keeperState';
 export * from './programTable';
 export * from './restoration';
+export * from './relayedStore';
 export * from './rosterMaintainer';
 export * from './rosterRecord';
+export * from './sharedList';
 export * from './turnStore';
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -16,7 +16,8 @@
   type SettleTokens,
   type TurnRecord,
 } from '@marjorampin/protocol';
-import { CallError, type Clock } from '@marjorampin/types';
+import type { Snapshot, StoreError } from '@marjorampin/store';
+import { CallError, type Clock, type Result } from '@marjorampin/types';
 import type { DurableLog } from './durableLog';
 import type { ProgramTable } from './programTable';
 import { isAssigned } from './restoration';
@@ -37,6 +38,8 @@
   hash: Hash;
   /** Number of keepers whose disks may be lost at once. */
   lossLimit: number;
+  /** Returns all values of the platform's store, read after the call. */
+  listValues(): Promise<Result<Snapshot, StoreError>>;
 }
 
 /** Handles requests for turns and budgets; replies to a write once it is synced to disk. */
@@ -98,6 +101,8 @@
         const records = this.options.table.records(body.value.turns);
         return { body: { case: 'turnChain', value: { records, complete: this.isIntact } } };
       }
+      case 'listValues':
+        return this.listValues();
       case 'probe':
         return { body: { case: 'acknowledgement', value: { accepted: true } } };
       default:
@@ -175,6 +180,13 @@
     return { body: { case: 'reservations', value } };
   }
 
+  private async listValues(): Promise<ReplyInit> {
+    const listed = await this.options.listValues();
+    if (listed.ok) return { body: { case: 'valueList', value: listed.val } };
+    const { message } = listed.val;
+    throw new CallError({ kind: 'platform-unavailable', message, retryAfterMs: START_RETRY_MS });
+  }
+
   private async commit({ record, rosterVersion }: CommitTurn): Promise<ReplyInit> {
     if (!record) throw missing('record');
     const { table, clock } = this.options;
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -18,7 +18,8 @@
 import { replayEvent } from './replayEvent';
 import { countDepartures, restoreFromPeers } from './restoration';
 import { type RetirementOrders, RosterMaintainer } from './rosterMaintainer';
-import { ROSTER_KEY } from './rosterRecord';
+import { RELAY_TIMEOUT_SHARE, RelayedStore } from './relayedStore';
+import { ALL_KEYS, SharedList } from './sharedList';
 
 /** Delay before a restoration that lacked sources is retried. */
 const RESTORATION_RETRY_DELAY_MS = 200;
@@ -26,8 +27,6 @@
 const VERSION_TIMEOUT_MS = 1_000;
 /** Interval between removals of expired data. */
 const EXPIRY_INTERVAL_MS = 5_000;
-/** Duration of one watch of the roster; a lost connection is detected soon after. */
-const ROSTER_WAIT_MS = 5_000;
 
 /** Options of `KeeperProcess`. */
 export interface KeeperProcessOptions {
@@ -41,6 +40,8 @@
   /** Number of keepers whose disks may be lost at once. */
   lossLimit: number;
   store: KeyValueStore;
+  /** Interval between reads of the store's values, in milliseconds. */
+  pollIntervalMs: number;
   retirement: RetirementOrders;
   clock: Clock;
   log: EventLog;
@@ -55,7 +56,9 @@
 
   private readonly durableLog: DurableLog;
 
-  private readonly rosterWatch: WatchedPrefix;
+  private readonly sharedList: SharedList;
+
+  private values: WatchedPrefix | undefined;
 
   private handler: KeeperHandler | undefined;
 
@@ -80,12 +83,7 @@
     this.options = options;
     const { folder, log, store, clock } = options;
     this.durableLog = new DurableLog({ folder, log });
-    this.rosterWatch = new WatchedPrefix({
-      store,
-      clock,
-      prefix: ROSTER_KEY,
-      waitMs: ROSTER_WAIT_MS,
-    });
+    this.sharedList = new SharedList({ store, clock });
   }
 
   /** Replays the log, listens, and joins the roster in the background; returns the port in use. */
@@ -102,10 +100,12 @@
     this.peers = new PeerPool({ handler, clock, supervision: 'during calls' });
     this.server = new PeerServer({ address, handler, clock });
     const { host, port } = await this.server.listen();
+    const values = this.watchValues(handler, this.peers);
+    this.values = values;
     this.rosterMaintainer = new RosterMaintainer({
       self: { id, domain, address: `${host}:${port}`, disk: this.state.disk },
       store,
-      rosterWatch: this.rosterWatch,
+      values,
       retirement: this.options.retirement,
       peers: this.peers,
       hash: await loadHash(),
@@ -120,7 +120,7 @@
       replayed: events.length,
       intact: this.state.intact,
     });
-    this.rosterWatch.start().then(() => this.rosterMaintainer?.run());
+    values.start().then(() => this.rosterMaintainer?.run());
     return port;
   }
 
@@ -134,7 +134,7 @@
     this.isStopped = true;
     clearInterval(this.expiry);
     this.rosterMaintainer?.stop();
-    this.rosterWatch.stop();
+    this.values?.stop();
     this.peers?.close();
     await this.server?.close();
     await this.durableLog.close();
@@ -145,7 +145,8 @@
     const { clock, lossLimit, metrics } = this.options;
     const hash = await loadHash();
     const { table, durableLog } = this;
-    const handler = new KeeperHandler({ table, durableLog, clock, hash, lossLimit });
+    const listValues = () => this.sharedList.read();
+    const handler = new KeeperHandler({ table, durableLog, clock, hash, lossLimit, listValues });
     const { intact, restoredVersion, roster } = this.state;
     handler.isIntact = intact;
     handler.restoredVersion = restoredVersion;
@@ -159,6 +160,21 @@
     return handler;
   }
 
+  private watchValues(handler: KeeperHandler, peers: PeerPool): WatchedPrefix {
+    const { id, domain, clock, log, store, pollIntervalMs } = this.options;
+    const relayed = new RelayedStore({
+      store,
+      peers,
+      domain,
+      clock,
+      log,
+      timeoutMs: pollIntervalMs * RELAY_TIMEOUT_SHARE,
+      roster: () => handler.roster,
+      own: { id, list: this.sharedList },
+    });
+    return new WatchedPrefix({ store: relayed, clock, prefix: ALL_KEYS, pollIntervalMs });
+  }
+
   /** Copies the data assigned to this keeper under the newest roster until none can be missing. */
   private async restore(): Promise<void> {
     const { handler, peers } = this;
--- /dev/null
+++ b/packages/turns/src/relayedStore.ts
@@ -0,0 +1,115 @@
+import type { EventLog } from '@marjorampin/logging';
+import type { Keeper, PeerConnections, Roster, ValueList } from '@marjorampin/protocol';
+import {
+  type Changes,
+  type CompareAndSwap,
+  KeyValueStore,
+  type Snapshot,
+  type StoredValue,
+  type StoreError,
+} from '@marjorampin/store';
+import { type Clock, Ok, type Result } from '@marjorampin/types';
+import { activeKeepers } from './keeperGroup';
+import type { SharedList } from './sharedList';
+
+/** Time for which a keeper that could not list the values is not asked again. */
+const EXCLUSION_MS = 5_000;
+
+/** Share of a poll interval to wait for a keeper: the store can still be read within the interval. */
+export const RELAY_TIMEOUT_SHARE = 0.3;
+
+/** Options of `RelayedStore`. */
+export interface RelayedStoreOptions {
+  store: KeyValueStore;
+  peers: PeerConnections;
+  /** Failure domain of this process; only its keepers are asked. */
+  domain: string;
+  clock: Clock;
+  log: EventLog;
+  /** Time within which a keeper has to reply before this process reads the store itself. */
+  timeoutMs: number;
+  /** Returns the newest roster, or undefined before the first one. */
+  roster(): Roster | undefined;
+  /** The list that this process serves to others, if it is a keeper. */
+  own?: { id: string; list: SharedList };
+}
+
+/**
+ * Store whose lists are read once for each failure domain: all processes of a domain ask the same
+ * keeper, which reads the store for them. The values are never older than the request. A process
+ * whose keeper fails reads the store itself. All other requests go to the store.
+ */
+export class RelayedStore extends KeyValueStore {
+  private readonly options: RelayedStoreOptions;
+
+  private readonly excludedUntilMs = new Map<string, number>();
+
+  constructor(options: RelayedStoreOptions) {
+    super();
+    this.options = options;
+  }
+
+  override async list(prefix: string): Promise<Result<Snapshot, StoreError>> {
+    const { store, own } = this.options;
+    const keeper = this.chooseKeeper();
+    if (!keeper) return store.list(prefix);
+    const listed = keeper.id === own?.id ? await own.list.read() : await this.listAt(keeper);
+    if (!listed) return store.list(prefix);
+    return listed.map(({ revision, values }) => ({
+      revision,
+      values: values.filter(({ key }) => key.startsWith(prefix)),
+    }));
+  }
+
+  override get(key: string): Promise<Result<StoredValue | undefined, StoreError>> {
+    return this.options.store.get(key);
+  }
+
+  override compareAndSwap(write: CompareAndSwap): Promise<Result<number, StoreError>> {
+    return this.options.store.compareAndSwap(write);
+  }
+
+  override remove(key: string, expectedVersion: number): Promise<Result<void, StoreError>> {
+    return this.options.store.remove(key, expectedVersion);
+  }
+
+  override watch(
+    prefix: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<Result<Changes, StoreError>> {
+    return this.options.store.watch(prefix, revision, waitMs);
+  }
+
+  /** Returns the first usable keeper of the domain; all processes of the domain get the same one. */
+  private chooseKeeper(): Keeper | undefined {
+    const { roster, domain, clock } = this.options;
+    const current = roster();
+    if (!current) return undefined;
+    const now = clock.now();
+    return activeKeepers(current).find(
+      (keeper) => keeper.domain === domain && (this.excludedUntilMs.get(keeper.id) ?? 0) <= now,
+    );
+  }
+
+  /** Asks a keeper for all values; returns undefined, and excludes the keeper, if it fails. */
+  private async listAt({ id, address }: Keeper): Promise<Result<Snapshot, StoreError> | undefined> {
+    const { peers, clock, log, timeoutMs } = this.options;
+    try {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const body = { case: 'listValues' as const, value: {} };
+      const reply = await peers.get(address).call(body, { signal, progressTimeoutMs: timeoutMs });
+      if (reply.body.case === 'valueList') return Ok(snapshotOf(reply.body.value));
+      throw new Error(`unexpected reply ${reply.body.case ?? 'without a body'}`);
+    } catch (error) {
+      this.excludedUntilMs.set(id, clock.now() + EXCLUSION_MS);
+      log.write('relayFailed', { keeper: id, error: String(error) });
+      return undefined;
+    }
+  }
+}
+
+function snapshotOf({ revision, values }: ValueList): Snapshot {
+  const stored = values.map(({ key, value, version }) => ({ key, value, version }));
+  return { revision, values: stored };
+}
--- a/packages/turns/src/rosterMaintainer.ts
+++ b/packages/turns/src/rosterMaintainer.ts
@@ -17,8 +17,8 @@
 
 /** Operators' orders to retire a host: its data is copied to other hosts before it is removed. */
 export abstract class RetirementOrders {
-  /** Returns whether an operator ordered this host to be retired. */
-  abstract isOrdered(): boolean;
+  /** Returns whether an operator ordered this host to be retired, according to the store's values. */
+  abstract isOrdered(values: WatchedPrefix): boolean;
 
   /** Reports the progress; `completed` only once no data is stored on this host alone. Returns
    * whether the report was written. */
@@ -30,8 +30,8 @@
   /** Roster record of this keeper. */
   self: Pick<Keeper, 'id' | 'address' | 'domain' | 'disk'>;
   store: KeyValueStore;
-  /** Watches the roster's key. */
-  rosterWatch: WatchedPrefix;
+  /** Watches all values of the store. */
+  values: WatchedPrefix;
   retirement: RetirementOrders;
   peers: PeerPool;
   hash: Hash;
@@ -64,8 +64,8 @@
 
   /** Probes the other keepers and updates the roster periodically until `stop`. */
   async run(): Promise<void> {
-    const { clock, rosterWatch, log } = this.options;
-    rosterWatch.onChange(() => this.adoptStored());
+    const { clock, values, log } = this.options;
+    values.onChange(() => this.adoptStored());
     this.adoptStored();
     while (!this.stopped.signal.aborted) {
       const isDone = await this.runRound().catch((error: unknown) => {
@@ -83,7 +83,7 @@
   }
 
   private storedRoster(): Roster | undefined {
-    const stored = this.options.rosterWatch.get(ROSTER_KEY);
+    const stored = this.options.values.get(ROSTER_KEY);
     if (!stored) return undefined;
     if (this.parsed?.version !== stored.version) {
       this.parsed = { version: stored.version, roster: parseRoster(stored.value, stored.version) };
@@ -157,8 +157,8 @@
 
   /** Returns the keepers with this keeper's current roster record, sorted by id. */
   private withSelf(keepers: Keeper[]): Keeper[] {
-    const { self, retirement } = this.options;
-    const current = create(KeeperSchema, { ...self, leaving: retirement.isOrdered() });
+    const { self, retirement, values } = this.options;
+    const current = create(KeeperSchema, { ...self, leaving: retirement.isOrdered(values) });
     // A replaced host keeps its id but may have another address. Another record with this keeper's
     // address is outdated, as its keeper no longer listens there.
     const others = keepers.filter(({ id, address }) => id !== self.id && address !== self.address);
@@ -179,9 +179,9 @@
   }
 
   private async retireIfOrdered(roster: Roster | undefined): Promise<void> {
-    const { retirement, self, log, areOthersRestored } = this.options;
+    const { retirement, self, log, values, areOthersRestored } = this.options;
     const listed = roster?.keepers.find(({ id }) => id === self.id);
-    if (!roster || !listed?.leaving || !retirement.isOrdered()) return;
+    if (!roster || !listed?.leaving || !retirement.isOrdered(values)) return;
     await retirement.report('running');
     if (!(await areOthersRestored(roster))) return;
     const others = roster.keepers.filter(({ id }) => id !== self.id);
@@ -191,10 +191,10 @@
   }
 
   private async write(keepers: Keeper[], expectedVersion: number): Promise<boolean> {
-    const { store, rosterWatch, adopt, log } = this.options;
+    const { store, values, adopt, log } = this.options;
     const written = await writeRoster(store, keepers, expectedVersion);
     const stored = await store.get(ROSTER_KEY);
-    if (stored.ok && stored.val) rosterWatch.applyWrite(stored.val);
+    if (stored.ok && stored.val) values.applyWrite(stored.val);
     const roster = this.storedRoster();
     if (roster) adopt(roster);
     if (written.err) {
