Let a keeper call the group of a program for entries with little processor time

Cause: a turn cost an entry six messages (three keepers for its reservation, three for its commit), over half of its processor time; entries of large deployments have a quarter of a core. A keeper that had just restarted was called like any other, and its cold code delayed every turn of its programs. Change: GroupClient, split from TurnStore, sends a request to a majority; keepers use it to serve GroupCall. Keepers are called in the order of their smoothed reply latency, which returns to the usual one in seconds.

--- a/packages/turns/src/__tests__/keeperMonitor.test.ts
+++ b/packages/turns/src/__tests__/keeperMonitor.test.ts
@@ -61,7 +61,7 @@
   },
   {
     name: 'does not count a slow keeper as unresponsive',
-    act: (monitor) => ['a', 'b', 'c'].forEach((id) => monitor.recordDelay(id)),
+    act: (monitor) => ['a', 'b', 'c'].forEach((id) => monitor.recordDelay(id, 40)),
     rounds: 1,
     unresponsive: '',
     probes: 0,
@@ -114,17 +114,51 @@
   });
 });
 
-test('keepers are called in the order responsive, slow, unresponsive', () => {
-  const monitor = new KeeperMonitor({
-    clock: new ManualClock(),
-    log: new MemoryEventLog(),
-    roster: () => roster,
-    onChange: () => undefined,
-    probe: async () => undefined,
+/** Expected latencies of a keeper whose usual latency is 8 ms. */
+const LATENCY_CASES: {
+  name: string;
+  act(monitor: KeeperMonitor): void;
+  waitMs?: number;
+  isExpected(ms: number): boolean;
+}[] = [
+  { name: 'unknown', act: () => undefined, isExpected: (ms) => ms === 8 },
+  {
+    name: 'slow after a delay',
+    act: (monitor) => monitor.recordDelay('a', 40),
+    isExpected: (ms) => ms > 16,
+  },
+  {
+    name: 'slow after one slow reply among fast ones',
+    act: (monitor) => [5, 60, 5].forEach((ms) => monitor.recordReply('a', ms)),
+    isExpected: (ms) => ms > 8,
+  },
+  {
+    name: 'usual again some time after a slow reply',
+    act: (monitor) => monitor.recordReply('a', 60),
+    waitMs: 20_000,
+    isExpected: (ms) => ms < 9,
+  },
+  {
+    name: 'infinite while unresponsive',
+    act: (monitor) => monitor.recordFailure('a', LOST),
+    isExpected: (ms) => ms === Infinity,
+  },
+];
+
+LATENCY_CASES.forEach(({ name, act, waitMs = 0, isExpected }) => {
+  test(`the expected latency of a keeper is ${name}`, async () => {
+    const clock = new ManualClock();
+    const monitor = new KeeperMonitor({
+      clock,
+      log: new MemoryEventLog(),
+      roster: () => roster,
+      onChange: () => undefined,
+      probe: async () => undefined,
+    });
+    act(monitor);
+    await clock.advance(waitMs);
+    const expectedMs = monitor.expectedMs('a', 8);
+    monitor.stop();
+    assert.ok(isExpected(expectedMs), `${expectedMs} ms`);
   });
-  monitor.recordFailure('a', LOST);
-  monitor.recordDelay('b');
-  const ranks = ['a', 'b', 'c'].map((id) => monitor.callRank(id));
-  monitor.stop();
-  assert.deepEqual(ranks, [2, 1, 0]);
 });
--- a/packages/turns/src/__tests__/simulatedKeepers.ts
+++ b/packages/turns/src/__tests__/simulatedKeepers.ts
@@ -1,5 +1,6 @@
 /** Simulated keepers, disks and messages whose steps fast-check interleaves. */
 import { create } from '@bufbuild/protobuf';
+import { MemoryEventLog } from '@marjorampin/logging';
 import type { Hash } from '@marjorampin/membership';
 import {
   type KeptEvent,
@@ -15,6 +16,7 @@
 import { StoreError } from '@marjorampin/store';
 import { CallError, type Clock, Err } from '@marjorampin/types';
 import type fc from 'fast-check';
+import { GroupClient } from '../groupClient';
 import { KeeperHandler } from '../keeperHandler';
 import { ProgramTable } from '../programTable';
 import { replayEvent } from '../replayEvent';
@@ -125,7 +127,7 @@
       const keeper: SimulatedKeeper = {
         disk,
         diskId: id,
-        handler: this.createHandler(disk),
+        handler: this.createHandler(id, disk, 1),
         startNumber: 1,
         isUp: true,
         isIntact: true,
@@ -231,13 +233,43 @@
     return keeper;
   }
 
-  private createHandler(disk: SimulatedDisk): KeeperHandler {
+  /** Connections of one start of a keeper, which coordinates requests of entries. */
+  private coordinatorPeers(id: string, startNumber: number): PeerConnections {
+    const peers = this.peersOf(id);
+    return {
+      get: (address): PeerConnection => ({
+        call: async (body) => {
+          if (this.keeper(id).startNumber !== startNumber) throw messageLost();
+          return peers.get(address).call(body);
+        },
+      }),
+      drop: () => undefined,
+    };
+  }
+
+  private createHandler(id: string, disk: SimulatedDisk, startNumber: number): KeeperHandler {
     const table = new ProgramTable();
     disk.synced.forEach((event) => replayEvent(table, event, this.clock));
     const { clock, hash } = this;
     const listValues = async () => Err(unavailable());
     const lossLimit = LOSS_LIMIT;
-    return new KeeperHandler({ table, durableLog: disk, clock, hash, lossLimit, listValues });
+    const peers = this.coordinatorPeers(id, startNumber);
+    const log = new MemoryEventLog();
+    const group = new GroupClient({ peers, hash, lossLimit, domain: id, clock, log });
+    const handler = new KeeperHandler({
+      table,
+      durableLog: disk,
+      clock,
+      hash,
+      lossLimit,
+      listValues,
+      callGroup: async (program, request) => {
+        if (!handler.roster) throw messageLost();
+        group.adopt(handler.roster);
+        return group.send(program, request);
+      },
+    });
+    return handler;
   }
 
   private async restart(id: string, keeper: SimulatedKeeper): Promise<void> {
@@ -245,7 +277,10 @@
     const { startNumber } = keeper;
     await this.scheduler.schedule(Promise.resolve());
     if (keeper.startNumber !== startNumber) return;
-    Object.assign(keeper, { handler: this.createHandler(keeper.disk), isUp: true });
+    Object.assign(keeper, {
+      handler: this.createHandler(id, keeper.disk, startNumber),
+      isUp: true,
+    });
     this.initialize(id, keeper);
   }
 
--- /dev/null
+++ b/packages/turns/src/groupClient.ts
@@ -0,0 +1,256 @@
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import type { EventLog } from '@marjorampin/logging';
+import type { Hash } from '@marjorampin/membership';
+import {
+  type GroupCallSchema,
+  type Keeper,
+  type PeerConnections,
+  type Reply,
+  ReplySchema,
+  type RequestBody,
+  type Reservation,
+  type Reservations,
+  type Roster,
+} from '@marjorampin/protocol';
+import type { Clock } from '@marjorampin/types';
+import { callQuorum, QUORUM_TIMEOUT_MS } from './callQuorum';
+import { GroupTable } from './groupTable';
+import { activeKeepers, quorumSize } from './keeperGroup';
+import { KeeperMonitor } from './keeperMonitor';
+import { keepersUnavailable } from './keepersUnavailable';
+import { mergeReservations } from './programTable';
+
+/** Delay before the remaining keepers of a group are called too. A responsive keeper replies sooner,
+ * as the delay covers several round trips and syncs. */
+const HEDGE_MS = 40;
+/** Time for which a request to a quorum is retried. */
+const QUORUM_RETRY_TIMEOUT_MS = 1_000;
+/** Delay before each retry; after a roster change, keepers are not ready for about 10 ms. */
+const QUORUM_RETRY_DELAY_MS = 20;
+/** Share of the programs that have to be available. */
+const READY_SHARE = 0.9;
+/** Timeout of a probe; well above the time of a reply from a busy keeper. */
+const PROBE_TIMEOUT_MS = 500;
+const PROBE: RequestBody = { case: 'probe', value: {} };
+/** Usual latency of a reply from a keeper of the same failure domain, and from another one. */
+const LOCAL_MS = 4;
+const REMOTE_MS = 8;
+/** Additional latency of a coordinator that does not store the program itself. */
+const OUTSIDE_GROUP_MS = 2;
+
+/** Request to the keepers of a program. */
+export type GroupRequest = Exclude<
+  NonNullable<MessageInitShape<typeof GroupCallSchema>['body']>,
+  { case?: undefined }
+>;
+
+/** Options of `GroupClient`. */
+export interface GroupClientOptions {
+  peers: PeerConnections;
+  hash: Hash;
+  /** Number of keepers whose disks may be lost at once. */
+  lossLimit: number;
+  /** Failure domain of this process; its keepers are usually the fastest. */
+  domain: string;
+  clock: Clock;
+  log: EventLog;
+}
+
+/** Sends requests to the keepers of a program; one succeeds once a majority has replied. */
+export class GroupClient {
+  private readonly options: GroupClientOptions;
+
+  private readonly monitor: KeeperMonitor;
+
+  private groups: GroupTable | undefined;
+
+  /** Whether a majority responds in nearly all groups. */
+  private isAvailable = true;
+
+  constructor(options: GroupClientOptions) {
+    this.options = options;
+    const { clock, log, peers } = options;
+    this.monitor = new KeeperMonitor({
+      clock,
+      log,
+      roster: () => this.roster,
+      onChange: () => this.updateAvailability(),
+      probe: ({ address }) =>
+        peers.get(address).call(PROBE, { progressTimeoutMs: PROBE_TIMEOUT_MS }),
+    });
+  }
+
+  /** Newest roster, or undefined before the first one. */
+  get roster(): Roster | undefined {
+    return this.groups?.roster;
+  }
+
+  /** Newest roster; throws `keepers-unavailable` before the first one with active keepers. */
+  get activeRoster(): Roster {
+    if (this.roster && activeKeepers(this.roster).length > 0) return this.roster;
+    throw keepersUnavailable('no roster with active keepers is available yet');
+  }
+
+  /** Replaces the roster if the given one is newer. */
+  adopt(roster: Roster): void {
+    if (this.roster && this.roster.version >= roster.version) return;
+    const addresses = new Set(roster.keepers.map(({ address }) => address));
+    this.roster?.keepers
+      .filter(({ address }) => !addresses.has(address))
+      .forEach(({ address }) => this.options.peers.drop(address));
+    const { lossLimit, hash } = this.options;
+    this.groups = new GroupTable({ roster, lossLimit, hash });
+    this.updateAvailability();
+  }
+
+  /** Stops probing unresponsive keepers. */
+  stop(): void {
+    this.monitor.stop();
+  }
+
+  /** Whether nearly all programs can be served: a majority of their group responds. */
+  get isReady(): boolean {
+    return this.groups !== undefined && this.isAvailable;
+  }
+
+  /** Whether a majority of a program's group responds. */
+  hasMajority(program: string): boolean {
+    return this.monitor.hasMajority(this.groupOf(program));
+  }
+
+  /** Sends a request to the keepers of a program; retries until a majority replies as expected. */
+  async send(program: string, request: GroupRequest): Promise<Reply> {
+    const { clock } = this.options;
+    const retryUntilMs = clock.now() + QUORUM_RETRY_TIMEOUT_MS;
+    while (true) {
+      const { version } = this.activeRoster;
+      try {
+        return mergeReplies(request, await this.sendOnce(program, request));
+      } catch (error) {
+        if (clock.now() >= retryUntilMs) throw error;
+        const hasNewer = (this.roster?.version ?? 0) > version;
+        if (!hasNewer) await clock.sleep(QUORUM_RETRY_DELAY_MS);
+      }
+    }
+  }
+
+  /** Returns the fastest keeper that can send a program's requests to its group for this process. */
+  chooseCoordinator(program: string): Keeper | undefined {
+    const { domain } = this.options;
+    const group = this.groupOf(program);
+    const local = activeKeepers(this.activeRoster).filter((keeper) => keeper.domain === domain);
+    const ordered = this.sortByLatency([...new Set([...group, ...local])], (keeper) =>
+      group.includes(keeper) ? 0 : OUTSIDE_GROUP_MS,
+    );
+    const [first] = ordered;
+    return first && !this.monitor.isUnresponsive(first.id) ? first : undefined;
+  }
+
+  /** Calls one keeper and records whether and how fast it replies. */
+  async callKeeper({ id, address }: Keeper, body: RequestBody): Promise<Reply> {
+    const { peers, clock } = this.options;
+    const startedAtMs = clock.now();
+    const reply = await peers
+      .get(address)
+      .call(body, { progressTimeoutMs: QUORUM_TIMEOUT_MS })
+      .catch((error: unknown) => {
+        this.monitor.recordFailure(id, error);
+        throw error;
+      });
+    this.monitor.recordReply(id, clock.now() - startedAtMs);
+    if (reply.body.case === 'newerRoster') this.adopt(reply.body.value);
+    return reply;
+  }
+
+  /** Records that a keeper has not replied for `waitedMs`, although it should have. */
+  recordDelay({ id }: Keeper, waitedMs: number): void {
+    this.monitor.recordDelay(id, waitedMs);
+  }
+
+  private sendOnce(program: string, request: GroupRequest): Promise<Reply[]> {
+    const { clock } = this.options;
+    const { version } = this.activeRoster;
+    const group = this.sortByLatency(this.groupOf(program));
+    return callQuorum({
+      group,
+      needed: quorumSize(group.length),
+      hedgeMs: HEDGE_MS,
+      timeoutMs: QUORUM_TIMEOUT_MS,
+      clock,
+      onDelay: (delayed) => delayed.forEach((keeper) => this.recordDelay(keeper, HEDGE_MS)),
+      call: async (keeper, index) => {
+        const reply = await this.callKeeper(keeper, bodyFor(request, version, index));
+        if (isSuccess(reply)) return reply;
+        throw new Error(`keeper ${keeper.id} is not ready (reply: ${reply.body.case ?? 'empty'})`);
+      },
+    });
+  }
+
+  private sortByLatency(
+    keepers: Keeper[],
+    additionalMs: (keeper: Keeper) => number = () => 0,
+  ): Keeper[] {
+    const { domain } = this.options;
+    return keepers
+      .map((keeper) => {
+        const usualMs = keeper.domain === domain ? LOCAL_MS : REMOTE_MS;
+        const costMs = this.monitor.expectedMs(keeper.id, usualMs) + additionalMs(keeper);
+        return { keeper, costMs };
+      })
+      .sort((a, b) => (a.costMs === b.costMs ? 0 : a.costMs - b.costMs))
+      .map(({ keeper }) => keeper);
+  }
+
+  private updateAvailability(): void {
+    const sample = this.groups?.sample ?? [];
+    const available = sample.filter((group) => this.monitor.hasMajority(group)).length;
+    const isAvailable = available >= sample.length * READY_SHARE;
+    if (isAvailable === this.isAvailable) return;
+    this.isAvailable = isAvailable;
+    const lostShare = 1 - available / sample.length;
+    this.options.log.write(isAvailable ? 'keepersRegained' : 'keepersLost', { lostShare });
+  }
+
+  private groupOf(program: string): Keeper[] {
+    // Throws before the first roster.
+    return this.activeRoster ? (this.groups?.groupOf(program) ?? []) : [];
+  }
+}
+
+/** Returns the request for one keeper; only the first keeper of a group returns the chain. */
+function bodyFor(request: GroupRequest, rosterVersion: number, index: number): RequestBody {
+  if (request.case === 'reserveTokens') {
+    const wantsChain = request.value.wantsChain === true && index === 0;
+    return { case: 'reserveTokens', value: { ...request.value, wantsChain, rosterVersion } };
+  }
+  if (request.case === 'commitTurn') {
+    return { case: 'commitTurn', value: { ...request.value, rosterVersion } };
+  }
+  return { case: 'settleTokens', value: { ...request.value, rosterVersion } };
+}
+
+/** Returns whether a keeper executed a request and its reply counts for the majority. */
+export function isSuccess({ body }: Reply): boolean {
+  if (body.case === 'reservations') return body.value.complete;
+  return body.case === 'acknowledgement' && body.value.accepted;
+}
+
+function mergeReplies(request: GroupRequest, replies: Reply[]): Reply {
+  if (request.case !== 'reserveTokens') {
+    return create(ReplySchema, { body: { case: 'acknowledgement', value: { accepted: true } } });
+  }
+  const all = replies.flatMap(({ body }) => (body.case === 'reservations' ? [body.value] : []));
+  const others = mergeOthers(all);
+  const chain = all.flatMap((reply) => reply.chain);
+  const value = { others, chain, complete: true };
+  return create(ReplySchema, { body: { case: 'reservations', value } });
+}
+
+/** Merges the reservations of a program's other turns from several replies. */
+function mergeOthers(replies: Reservations[]): Reservation[] {
+  const merged = new Map<string, Reservation>();
+  replies
+    .flatMap(({ others }) => others)
+    .forEach((each) => merged.set(each.turn, mergeReservations(each, merged.get(each.turn))));
+  return [...merged.values()];
+}
--- a/packages/turns/src/keeperMonitor.ts
+++ b/packages/turns/src/keeperMonitor.ts
@@ -2,13 +2,14 @@
 import type { Keeper, Roster } from '@marjorampin/protocol';
 import { CallError, type Clock } from '@marjorampin/types';
 import { quorumSize } from './keeperGroup';
+import { ReplyLatencies } from './replyLatencies';
 
 /** Interval between probes of unresponsive keepers. */
 const PROBE_INTERVAL_MS = 500;
 /** Maximum number of keepers probed at the same time. */
 const PROBES_PER_ROUND = 8;
 /** Rounds after which silent keepers are no longer probed; the next call finds out their state. */
-const MAXIMUM_ROUNDS = 60;
+const MAXIMUM_ROUNDS = 24;
 /** Errors that show that nothing was heard from a keeper; others are replies. */
 const SILENCE_KINDS = new Set(['connection-lost', 'deadline-exceeded']);
 
@@ -33,7 +34,7 @@
 
   private readonly unresponsive = new Set<string>();
 
-  private readonly slow = new Set<string>();
+  private readonly latencies: ReplyLatencies;
 
   private isProbing = false;
 
@@ -41,19 +42,20 @@
 
   constructor(options: KeeperMonitorOptions) {
     this.options = options;
+    this.latencies = new ReplyLatencies({ clock: options.clock });
   }
 
-  /** Records that a keeper replied. */
-  recordReply(id: string): void {
-    this.slow.delete(id);
+  /** Records that a keeper replied, after `latencyMs` if that is known. */
+  recordReply(id: string, latencyMs?: number): void {
+    if (latencyMs !== undefined) this.latencies.record(id, latencyMs);
     if (!this.unresponsive.delete(id)) return;
     this.options.log.write('keeperReachable', { keeper: id });
     this.options.onChange();
   }
 
-  /** Records that a keeper has not replied yet, although most keepers would have. */
-  recordDelay(id: string): void {
-    this.slow.add(id);
+  /** Records that a keeper has not replied for `waitedMs`, although most keepers would have. */
+  recordDelay(id: string, waitedMs: number): void {
+    this.latencies.record(id, waitedMs);
   }
 
   /** Records a failed call; the keeper counts as unresponsive if nothing was heard from it. */
@@ -74,10 +76,10 @@
     return this.unresponsive.has(id);
   }
 
-  /** Returns the order in which to call a keeper: 0 first. */
-  callRank(id: string): number {
-    if (this.unresponsive.has(id)) return 2;
-    return this.slow.has(id) ? 1 : 0;
+  /** Returns the expected latency of a keeper's reply in milliseconds; infinite if it is
+   * unresponsive, `usualMs` if nothing is known. */
+  expectedMs(id: string, usualMs: number): number {
+    return this.unresponsive.has(id) ? Infinity : this.latencies.expectedMs(id, usualMs);
   }
 
   /** Returns whether a majority of a group responds. */
@@ -113,7 +115,6 @@
       );
     }
     this.isProbing = false;
-    this.unresponsive.forEach((id) => this.slow.add(id));
     this.unresponsive.clear();
     this.options.onChange();
   }
@@ -123,11 +124,11 @@
   }
 
   private forgetRemoved(keepers: Map<string, Keeper>): void {
-    [...this.unresponsive, ...this.slow]
+    [...this.unresponsive]
       .filter((id) => !keepers.has(id))
       .forEach((id) => {
         this.unresponsive.delete(id);
-        this.slow.delete(id);
+        this.latencies.forget(id);
       });
   }
 }
