Remove coordinated group calls; create abort signals of peer calls only on use

Change: an entry calls the majority itself again; GroupClient and the order of keepers by reply latency stay. The abort signal of an incoming call is created when a handler uses it (2% of a keeper's processor time in a profile).

--- a/packages/protocol/src/peerChannel.ts
+++ b/packages/protocol/src/peerChannel.ts
@@ -19,6 +19,7 @@
   RequestSchema,
 } from './gen/peer_pb';
 import { FrameQueue } from './frameQueue';
+import { LazyAbort } from './lazyAbort';
 
 /** Interval between checks, and between heartbeats, of a supervised stream. */
 export const HEARTBEAT_INTERVAL_MS = 500;
@@ -111,7 +112,7 @@
 
   private readonly outgoingCalls = new Map<number, OutgoingCall>();
 
-  private readonly incomingCalls = new Map<number, AbortController>();
+  private readonly incomingCalls = new Map<number, LazyAbort>();
 
   private readonly closeListeners: (() => void)[] = [];
 
@@ -246,7 +247,7 @@
     if (this.closeError) return;
     this.closeError = new CallError({ kind: 'connection-lost', message: reason });
     this.outgoing.close();
-    this.incomingCalls.forEach((controller) => controller.abort());
+    this.incomingCalls.forEach((abort) => abort.abort());
     this.incomingCalls.clear();
     const calls = [...this.outgoingCalls.values()];
     this.outgoingCalls.clear();
@@ -295,13 +296,19 @@
   }
 
   private async serve(number: number, request: Request): Promise<void> {
-    const controller = new AbortController();
+    const abort = new LazyAbort();
     this.superviseCall();
-    this.incomingCalls.set(number, controller);
+    this.incomingCalls.set(number, abort);
     const sendItem = (text: string) =>
       this.push({ call: number, body: { case: 'item', value: { text } } });
     try {
-      const reply = await this.handler.handle(request, { signal: controller.signal, sendItem });
+      const call = {
+        get signal() {
+          return abort.signal;
+        },
+        sendItem,
+      };
+      const reply = await this.handler.handle(request, call);
       this.push({ call: number, body: { case: 'reply', value: create(ReplySchema, reply) } });
     } catch (thrown) {
       const { kind, execution, message, retryAfterMs } = toCallError(thrown);
--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -111,20 +111,12 @@
   }
 
   /** Creates a turn store as an entry uses it. */
-  async createTurnStore({ usesCoordinator = false } = {}): Promise<TurnStore> {
+  async createTurnStore(): Promise<TurnStore> {
     const peers = new PeerPool({ handler: new ClientHandler(), clock });
     this.pools.push(peers);
     const hash = await loadHash();
     const { log } = this;
-    const turns = new TurnStore({
-      peers,
-      hash,
-      lossLimit: 1,
-      domain: 'a',
-      clock,
-      log,
-      usesCoordinator,
-    });
+    const turns = new TurnStore({ peers, hash, lossLimit: 1, domain: 'a', clock, log });
     await this.adoptStoredRoster(turns);
     return turns;
   }
--- a/packages/turns/src/__tests__/keeperProperty.ts
+++ b/packages/turns/src/__tests__/keeperProperty.ts
@@ -80,17 +80,9 @@
   const clock = new ScheduledClock(scheduler, { stepMs: STEP_MS });
   const keepers = new SimulatedKeepers({ clock, hash, mutation, scheduler, deliveries });
   const log = new MemoryEventLog();
-  const stores = ENTRIES.map((entry, index) => {
-    const store = new TurnStore({
-      peers: keepers.peersOf(entry),
-      hash,
-      lossLimit: 1,
-      domain: entry,
-      clock,
-      log,
-      // Some entries call the group themselves, others through a coordinator.
-      usesCoordinator: index % 2 === 0,
-    });
+  const stores = ENTRIES.map((entry) => {
+    const peers = keepers.peersOf(entry);
+    const store = new TurnStore({ peers, hash, lossLimit: 1, domain: entry, clock, log });
     store.adopt(keepers.roster);
     return store;
   });
--- a/packages/turns/src/__tests__/simulatedKeepers.ts
+++ b/packages/turns/src/__tests__/simulatedKeepers.ts
@@ -1,6 +1,5 @@
 /** Simulated keepers, disks and messages whose steps fast-check interleaves. */
 import { create } from '@bufbuild/protobuf';
-import { MemoryEventLog } from '@marjorampin/logging';
 import type { Hash } from '@marjorampin/membership';
 import {
   type KeptEvent,
@@ -16,7 +15,6 @@
 import { StoreError } from '@marjorampin/store';
 import { CallError, type Clock, Err } from '@marjorampin/types';
 import type fc from 'fast-check';
-import { GroupClient } from '../groupClient';
 import { KeeperHandler } from '../keeperHandler';
 import { ProgramTable } from '../programTable';
 import { replayEvent } from '../replayEvent';
@@ -127,7 +125,7 @@
       const keeper: SimulatedKeeper = {
         disk,
         diskId: id,
-        handler: this.createHandler(id, disk, 1),
+        handler: this.createHandler(disk),
         startNumber: 1,
         isUp: true,
         isIntact: true,
@@ -233,43 +231,13 @@
     return keeper;
   }
 
-  /** Connections of one start of a keeper, which coordinates requests of entries. */
-  private coordinatorPeers(id: string, startNumber: number): PeerConnections {
-    const peers = this.peersOf(id);
-    return {
-      get: (address): PeerConnection => ({
-        call: async (body) => {
-          if (this.keeper(id).startNumber !== startNumber) throw messageLost();
-          return peers.get(address).call(body);
-        },
-      }),
-      drop: () => undefined,
-    };
-  }
-
-  private createHandler(id: string, disk: SimulatedDisk, startNumber: number): KeeperHandler {
+  private createHandler(disk: SimulatedDisk): KeeperHandler {
     const table = new ProgramTable();
     disk.synced.forEach((event) => replayEvent(table, event, this.clock));
     const { clock, hash } = this;
     const listValues = async () => Err(unavailable());
     const lossLimit = LOSS_LIMIT;
-    const peers = this.coordinatorPeers(id, startNumber);
-    const log = new MemoryEventLog();
-    const group = new GroupClient({ peers, hash, lossLimit, domain: id, clock, log });
-    const handler = new KeeperHandler({
-      table,
-      durableLog: disk,
-      clock,
-      hash,
-      lossLimit,
-      listValues,
-      callGroup: async (program, request) => {
-        if (!handler.roster) throw messageLost();
-        group.adopt(handler.roster);
-        return group.send(program, request);
-      },
-    });
-    return handler;
+    return new KeeperHandler({ table, durableLog: disk, clock, hash, lossLimit, listValues });
   }
 
   private async restart(id: string, keeper: SimulatedKeeper): Promise<void> {
@@ -278,7 +246,7 @@
     await this.scheduler.schedule(Promise.resolve());
     if (keeper.startNumber !== startNumber) return;
     Object.assign(keeper, {
-      handler: this.createHandler(id, keeper.disk, startNumber),
+      handler: this.createHandler(keeper.disk),
       isUp: true,
     });
     this.initialize(id, keeper);
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { Hash } from '@marjorampin/membership';
 import {
-  type GroupCallSchema,
+  type CommitTurnSchema,
   type Keeper,
   type PeerConnections,
   type Reply,
@@ -10,7 +10,9 @@
   type RequestBody,
   type Reservation,
   type Reservations,
+  type ReserveTokensSchema,
   type Roster,
+  type SettleTokensSchema,
 } from '@marjorampin/protocol';
 import type { Clock } from '@marjorampin/types';
 import { callQuorum, QUORUM_TIMEOUT_MS } from './callQuorum';
@@ -35,14 +37,12 @@
 /** Usual latency of a reply from a keeper of the same failure domain, and from another one. */
 const LOCAL_MS = 4;
 const REMOTE_MS = 8;
-/** Additional latency of a coordinator that does not store the program itself. */
-const OUTSIDE_GROUP_MS = 2;
 
 /** Request to the keepers of a program. */
-export type GroupRequest = Exclude<
-  NonNullable<MessageInitShape<typeof GroupCallSchema>['body']>,
-  { case?: undefined }
->;
+export type GroupRequest =
+  | { case: 'reserveTokens'; value: MessageInitShape<typeof ReserveTokensSchema> }
+  | { case: 'commitTurn'; value: MessageInitShape<typeof CommitTurnSchema> }
+  | { case: 'settleTokens'; value: MessageInitShape<typeof SettleTokensSchema> };
 
 /** Options of `GroupClient`. */
 export interface GroupClientOptions {
@@ -134,20 +134,8 @@
     }
   }
 
-  /** Returns the fastest keeper that can send a program's requests to its group for this process. */
-  chooseCoordinator(program: string): Keeper | undefined {
-    const { domain } = this.options;
-    const group = this.groupOf(program);
-    const local = activeKeepers(this.activeRoster).filter((keeper) => keeper.domain === domain);
-    const ordered = this.sortByLatency([...new Set([...group, ...local])], (keeper) =>
-      group.includes(keeper) ? 0 : OUTSIDE_GROUP_MS,
-    );
-    const [first] = ordered;
-    return first && !this.monitor.isUnresponsive(first.id) ? first : undefined;
-  }
-
   /** Calls one keeper and records whether and how fast it replies. */
-  async callKeeper({ id, address }: Keeper, body: RequestBody): Promise<Reply> {
+  private async callKeeper({ id, address }: Keeper, body: RequestBody): Promise<Reply> {
     const { peers, clock } = this.options;
     const startedAtMs = clock.now();
     const reply = await peers
@@ -162,11 +150,6 @@
     return reply;
   }
 
-  /** Records that a keeper has not replied for `waitedMs`, although it should have. */
-  recordDelay({ id }: Keeper, waitedMs: number): void {
-    this.monitor.recordDelay(id, waitedMs);
-  }
-
   private sendOnce(program: string, request: GroupRequest): Promise<Reply[]> {
     const { clock } = this.options;
     const { version } = this.activeRoster;
@@ -177,7 +160,7 @@
       hedgeMs: HEDGE_MS,
       timeoutMs: QUORUM_TIMEOUT_MS,
       clock,
-      onDelay: (delayed) => delayed.forEach((keeper) => this.recordDelay(keeper, HEDGE_MS)),
+      onDelay: (delayed) => delayed.forEach(({ id }) => this.monitor.recordDelay(id, HEDGE_MS)),
       call: async (keeper, index) => {
         const reply = await this.callKeeper(keeper, bodyFor(request, version, index));
         if (isSuccess(reply)) return reply;
@@ -186,18 +169,14 @@
     });
   }
 
-  private sortByLatency(
-    keepers: Keeper[],
-    additionalMs: (keeper: Keeper) => number = () => 0,
-  ): Keeper[] {
+  private sortByLatency(keepers: Keeper[]): Keeper[] {
     const { domain } = this.options;
     return keepers
       .map((keeper) => {
         const usualMs = keeper.domain === domain ? LOCAL_MS : REMOTE_MS;
-        const costMs = this.monitor.expectedMs(keeper.id, usualMs) + additionalMs(keeper);
-        return { keeper, costMs };
+        return { keeper, expectedMs: this.monitor.expectedMs(keeper.id, usualMs) };
       })
-      .sort((a, b) => (a.costMs === b.costMs ? 0 : a.costMs - b.costMs))
+      .sort((a, b) => (a.expectedMs === b.expectedMs ? 0 : a.expectedMs - b.expectedMs))
       .map(({ keeper }) => keeper);
   }
 
@@ -230,7 +209,7 @@
 }
 
 /** Returns whether a keeper executed a request and its reply counts for the majority. */
-export function isSuccess({ body }: Reply): boolean {
+function isSuccess({ body }: Reply): boolean {
   if (body.case === 'reservations') return body.value.complete;
   return body.case === 'acknowledgement' && body.value.accepted;
 }
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -4,13 +4,11 @@
   type CommitTurn,
   type CopyPrograms,
   type EndpointReport,
-  type GroupCall,
   type KeptEvent,
   KeptEventSchema,
   PeerHandler,
   type ProgramCopy,
   type ReadTurns,
-  type Reply,
   type ReplySchema,
   type Request,
   type ReserveTokens,
@@ -21,7 +19,6 @@
 import type { Snapshot, StoreError } from '@marjorampin/store';
 import { CallError, type Clock, type Result } from '@marjorampin/types';
 import type { DurableLog } from './durableLog';
-import type { GroupRequest } from './groupClient';
 import type { ProgramTable } from './programTable';
 import { isAssigned } from './restoration';
 
@@ -43,8 +40,6 @@
   lossLimit: number;
   /** Returns all values of the platform's store, read after the call. */
   listValues(): Promise<Result<Snapshot, StoreError>>;
-  /** Sends a request to the keepers of a program and returns the reply of a majority. */
-  callGroup(program: string, request: GroupRequest): Promise<Reply>;
 }
 
 /** Handles requests for turns and budgets; replies to a write once it is synced to disk. */
@@ -106,8 +101,6 @@
         const records = this.options.table.records(body.value.turns);
         return { body: { case: 'turnChain', value: { records, complete: this.isIntact } } };
       }
-      case 'groupCall':
-        return this.callGroup(body.value);
       case 'listValues':
         return this.listValues();
       case 'probe':
@@ -187,12 +180,6 @@
     return { body: { case: 'reservations', value } };
   }
 
-  private async callGroup({ program, body }: GroupCall): Promise<ReplyInit> {
-    if (body.case === undefined) throw missing('request');
-    const reply = await this.options.callGroup(program, body);
-    return { body: reply.body };
-  }
-
   private async listValues(): Promise<ReplyInit> {
     const listed = await this.options.listValues();
     if (listed.ok) return { body: { case: 'valueList', value: listed.val } };
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -4,21 +4,16 @@
 import type { Metrics } from '@marjorampin/metrics';
 import {
   type Keeper,
-  type PeerConnections,
   PeerPool,
   PeerServer,
-  type Reply,
   type Roster,
   RosterSchema,
 } from '@marjorampin/protocol';
 import { type KeyValueStore, WatchedPrefix } from '@marjorampin/store';
 import type { Clock, PeerAddress } from '@marjorampin/types';
 import { DurableLog } from './durableLog';
-import { GroupClient, type GroupRequest } from './groupClient';
 import { KeeperHandler } from './keeperHandler';
 import { type KeeperState, readKeeperState, writeKeeperState } from './keeperState';
-import { keepersUnavailable } from './keepersUnavailable';
-import { LocalConnections } from './localConnections';
 import { ProgramTable } from './programTable';
 import { replayEvent } from './replayEvent';
 import { countDepartures, restoreFromPeers } from './restoration';
@@ -67,8 +62,6 @@
 
   private handler: KeeperHandler | undefined;
 
-  private group: GroupClient | undefined;
-
   private server: PeerServer | undefined;
 
   private peers: PeerPool | undefined;
@@ -110,10 +103,8 @@
     const { host, port } = await this.server.listen();
     const values = this.watchValues(handler, peers);
     this.values = values;
-    const own = `${host}:${port}`;
-    this.group = await this.createGroupClient(new LocalConnections({ own, handler, peers }));
     this.rosterMaintainer = new RosterMaintainer({
-      self: { id, domain, address: own, disk: this.state.disk },
+      self: { id, domain, address: `${host}:${port}`, disk: this.state.disk },
       store,
       values,
       retirement: this.options.retirement,
@@ -145,7 +136,6 @@
     clearInterval(this.expiry);
     this.rosterMaintainer?.stop();
     this.values?.stop();
-    this.group?.stop();
     this.peers?.close();
     await this.server?.close();
     await this.durableLog.close();
@@ -157,9 +147,7 @@
     const hash = await loadHash();
     const { table, durableLog } = this;
     const listValues = () => this.sharedList.read();
-    const callGroup = (program: string, request: GroupRequest) => this.callGroup(program, request);
-    const options = { table, durableLog, clock, hash, lossLimit, listValues, callGroup };
-    const handler = new KeeperHandler(options);
+    const handler = new KeeperHandler({ table, durableLog, clock, hash, lossLimit, listValues });
     const { intact, restoredVersion, roster } = this.state;
     handler.isIntact = intact;
     handler.restoredVersion = restoredVersion;
@@ -173,19 +161,6 @@
     return handler;
   }
 
-  private async createGroupClient(peers: PeerConnections): Promise<GroupClient> {
-    const { domain, lossLimit, clock, log } = this.options;
-    const hash = await loadHash();
-    return new GroupClient({ peers, hash, lossLimit, domain, clock, log });
-  }
-
-  private async callGroup(program: string, request: GroupRequest): Promise<Reply> {
-    const { group, handler } = this;
-    if (!group || !handler?.roster) throw keepersUnavailable('this keeper has no roster yet');
-    group.adopt(handler.roster);
-    return group.send(program, request);
-  }
-
   private watchValues(handler: KeeperHandler, peers: PeerPool): WatchedPrefix {
     const { id, domain, clock, log, store, pollIntervalMs } = this.options;
     const relayed = new RelayedStore({
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -1,6 +1,6 @@
-import { type Reply, type Reservations, type Roster, type TurnRecord } from '@marjorampin/protocol';
+import type { Reservations, Roster, TurnRecord } from '@marjorampin/protocol';
 import { CallError } from '@marjorampin/types';
-import { GroupClient, type GroupClientOptions, type GroupRequest, isSuccess } from './groupClient';
+import { GroupClient, type GroupClientOptions, type GroupRequest } from './groupClient';
 import { keepersUnavailable } from './keepersUnavailable';
 import { TurnCache } from './turnCache';
 import { completeChain } from './turnChain';
@@ -9,9 +9,6 @@
 /** Attempts to write a settlement; their delays add up to the time of a keeper restart. */
 const MAXIMUM_SETTLE_ATTEMPTS = 6;
 const SETTLE_RETRY_DELAY_MS = 250;
-/** Time after which this process calls the group itself, if a coordinator has not replied; several
- * times the usual time of a coordinated call. */
-const COORDINATION_TIMEOUT_MS = 120;
 
 /** Tokens that a turn reserves before it runs. */
 export interface TurnReservation {
@@ -30,9 +27,6 @@
 export interface TurnStoreOptions extends GroupClientOptions {
   /** Size limit of the cache of turns. */
   cacheBytes?: number;
-  /** Whether a keeper calls the group for this process: one message instead of one for each keeper
-   * of a majority, for hosts with little processor time. */
-  usesCoordinator?: boolean;
 }
 
 const DEFAULT_CACHE_BYTES = 24 * 1024 * 1024;
@@ -96,7 +90,7 @@
 
   /** Writes a completed turn; resolves once a majority of its keepers has synced it to disk. */
   async commit(record: TurnRecord): Promise<void> {
-    await this.send(record.program, { case: 'commitTurn', value: { record } });
+    await this.group.send(record.program, { case: 'commitTurn', value: { record } });
     this.cache.add(record);
   }
 
@@ -111,7 +105,7 @@
       value: { program, reservation, retentionMs },
     };
     for (let attempt = 1; attempt <= MAXIMUM_SETTLE_ATTEMPTS; attempt += 1) {
-      const isSettled = await this.send(program, request).then(
+      const isSettled = await this.group.send(program, request).then(
         () => true,
         () => false,
       );
@@ -145,7 +139,7 @@
   ): Promise<Reservations> {
     const reservation = { turn, tokens };
     const value = { program, reservation, retentionMs, previous, wantsChain };
-    const { body } = await this.send(program, { case: 'reserveTokens', value });
+    const { body } = await this.group.send(program, { case: 'reserveTokens', value });
     if (body.case === 'reservations') return body.value;
     throw keepersUnavailable(`unexpected reply ${body.case ?? 'without a body'}`);
   }
@@ -157,42 +151,6 @@
     chain.forEach((record) => this.cache.add(record));
     return chain;
   }
-
-  /** Sends a request to the group of a program, through a coordinator if that is enabled and one
-   * replies in time. All requests may be repeated. */
-  private async send(program: string, request: GroupRequest): Promise<Reply> {
-    const { usesCoordinator = false, clock } = this.options;
-    const coordinator = usesCoordinator ? this.group.chooseCoordinator(program) : undefined;
-    if (!coordinator) return this.group.send(program, request);
-    return new Promise((resolve, reject) => {
-      let isDone = false;
-      const sendDirectly = () => {
-        if (isDone) return;
-        isDone = true;
-        this.group.send(program, request).then(resolve, reject);
-      };
-      const cancelTimeout = clock.after(COORDINATION_TIMEOUT_MS, () => {
-        if (!isDone) this.group.recordDelay(coordinator, COORDINATION_TIMEOUT_MS);
-        sendDirectly();
-      });
-      const body = { case: 'groupCall' as const, value: { program, body: request } };
-      this.group.callKeeper(coordinator, body).then(
-        (reply) => {
-          cancelTimeout();
-          if (!isSuccess(reply)) {
-            sendDirectly();
-            return;
-          }
-          isDone = true;
-          resolve(reply);
-        },
-        () => {
-          cancelTimeout();
-          sendDirectly();
-        },
-      );
-    });
-  }
 }
 
 function othersOf({ others }: Reservations, { turn }: TurnReservation) {
