Refuse turns of exhausted budgets without asking the keepers again

Change: settled tokens are final, so once they leave too little of the budget, one round decides, and the entry remembers the program for the retention of its account. Refusals because of running turns still ask each time. Tests: messages of turns and refusals counted on fakes.

--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -1,5 +1,6 @@
-import type { Reservations, Roster, TurnRecord } from '@marjorampin/protocol';
+import type { Reservation, Reservations, Roster, TurnRecord } from '@marjorampin/protocol';
 import { CallError } from '@marjorampin/types';
+import { ExhaustedBudgets } from './exhaustedBudgets';
 import { GroupClient, type GroupClientOptions, type GroupRequest } from './groupClient';
 import { keepersUnavailable } from './keepersUnavailable';
 import { TurnCache } from './turnCache';
@@ -41,12 +42,15 @@
 
   private readonly reader: TurnReader;
 
+  private readonly exhausted: ExhaustedBudgets;
+
   constructor(options: TurnStoreOptions) {
     this.options = options;
     const { lossLimit, peers } = options;
     this.group = new GroupClient(options);
     this.reader = new TurnReader({ peers, lossLimit, adopt: (roster) => this.adopt(roster) });
     this.cache = new TurnCache(options.cacheBytes ?? DEFAULT_CACHE_BYTES);
+    this.exhausted = new ExhaustedBudgets({ clock: options.clock });
   }
 
   /** Newest roster, or undefined before the first one. */
@@ -75,6 +79,8 @@
    * not run.
    */
   async reserve(request: TurnReservation): Promise<TurnRecord[]> {
+    const settledTokens = this.exhausted.settledTokens(request.program);
+    if (settledTokens + request.tokens > request.budget) throw exhausted(request, settledTokens);
     // Fails without retries, because the caller may reach the keepers through another entry.
     if (!this.group.hasMajority(request.program)) {
       throw keepersUnavailable('this entry reaches too few of the keepers of the program');
@@ -123,13 +129,16 @@
     // Concurrent turns may each reserve, at different majorities, before the other's reservation is
     // written. Each therefore sends its request again; the last to do so sees all reservations. If
     // all other turns are settled, no repeat is needed.
-    const isOnlyRunningTurn = othersOf(first, request).every(({ settled }) => settled);
-    const last = isOnlyRunningTurn ? first : await this.reserveTokens(request, false);
-    const spent = othersOf(last, request).reduce((sum, { tokens }) => sum + tokens, 0);
-    if (spent + request.tokens > request.budget) {
-      const message = `${spent} of ${request.budget} tokens are spent or reserved, and the turn may need ${request.tokens}; end the program or raise its budget`;
-      throw new CallError({ kind: 'budget-exhausted', message });
+    const others = othersOf(first, request);
+    const settledTokens = totalTokens(others.filter(({ settled }) => settled));
+    if (settledTokens + request.tokens > request.budget) {
+      this.exhausted.record(request.program, settledTokens, request.retentionMs);
+      throw exhausted(request, settledTokens);
     }
+    const isOnlyRunningTurn = others.every(({ settled }) => settled);
+    const last = isOnlyRunningTurn ? first : await this.reserveTokens(request, false);
+    const spentTokens = totalTokens(othersOf(last, request));
+    if (spentTokens + request.tokens > request.budget) throw exhausted(request, spentTokens);
     return cached ?? (await this.readChain(previous ?? '', first.chain));
   }
 
@@ -153,6 +162,15 @@
   }
 }
 
-function othersOf({ others }: Reservations, { turn }: TurnReservation) {
+function othersOf({ others }: Reservations, { turn }: TurnReservation): Reservation[] {
   return others.filter((other) => other.turn !== turn);
 }
+
+function totalTokens(reservations: Reservation[]): number {
+  return reservations.reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+function exhausted({ tokens, budget }: TurnReservation, spentTokens: number): CallError {
+  const message = `${spentTokens} of ${budget} tokens are spent or reserved, and the turn may need ${tokens}; end the program or raise its budget`;
+  return new CallError({ kind: 'budget-exhausted', message });
+}
