Choose retry delays by load and never report a call as not run that may have run

Cause: every refusal told callers to return after 300 ms, whatever the queue; an idempotent call whose first attempt failed and whose second was refused was answered 503, which promises that it did not run. Change: routing/refusal.ts decides, without input or output, whether no endpoint can answer in time (refused at once) and when to return: after about the drain time, spread, programs in progress first, within a third of the time left.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -1,16 +1,13 @@
+import { isHopeless, type RefusalRequest, retryDelayMs } from '@marjorampin/routing';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import { CallError, type Clock, type Endpoint, toCallError } from '@marjorampin/types';
 import { type CallerRequest, remainingMs } from './callerRequest';
 import type { HeaderCodec } from './headerCodec';
+import { AttemptHistory } from './attemptHistory';
 import type { EndpointChoice } from './endpointChoice';
 import { type EndpointAnswer, exchangeWithEndpoint } from './endpointExchange';
 
-/** Retry delay for callers when no endpoint could accept their call. */
-const RETRY_AFTER_MS = 300;
-/** Failed connections don't count as attempts of the call; this limits them separately. */
-const MAXIMUM_CONNECTION_FAILURES = 4;
-
 /** Statuses from which callers conclude that their call did not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -54,38 +51,79 @@
     // A reused connection can fail with an unknown outcome, which ends the caller's program if the
     // call must not be repeated.
     const mayReuseConnection = route.kind !== 'non-idempotent';
-    const triedIds = new Set<string>();
-    let attempts = 0;
-    let connectionFailures = 0;
+    this.refuseIfHopeless(request, outgoing);
+    const history = new AttemptHistory(route);
     while (true) {
+      const { triedIds } = history;
       const endpoint = this.options.choice.choose({ ...outgoing, triedIds, mayReuseConnection });
-      if (!endpoint) throw noEndpoint(outgoing.service, triedIds.size);
+      if (!endpoint) throw history.outcomeOf(this.noEndpoint(request, outgoing, triedIds.size));
       triedIds.add(endpoint.id);
       this.trace(request, endpoint);
       try {
-        return await this.send(
-          request,
-          { ...outgoing, mayReuseConnection },
-          endpoint,
-          handleAnswer,
-        );
+        const sent = { ...outgoing, mayReuseConnection };
+        return await this.send(request, sent, endpoint, handleAnswer);
       } catch (error) {
         const failure = toCallError(error);
-        const wasSent = failure.kind !== 'endpoint-failed' || failure.execution !== 'not-run';
-        if (wasSent) attempts += 1;
-        else connectionFailures += 1;
-        const isRepeatable = route.kind === 'idempotent' || route.isResumable;
-        const mayRepeat = failure.execution === 'not-run' || isRepeatable;
-        const isExhausted =
-          request.signal.aborted ||
-          attempts >= route.maximumAttempts ||
-          connectionFailures >= MAXIMUM_CONNECTION_FAILURES;
-        if (!mayRepeat || isExhausted || request.response.headersSent) throw failure;
+        history.record(failure);
+        const isFinal = request.signal.aborted || request.response.headersSent;
+        if (isFinal || !history.allowsRepeat(failure)) {
+          throw history.outcomeOf(this.withRetryDelay(failure, request, outgoing));
+        }
         this.options.metrics.count('endpoint_retries_total', { service: outgoing.service });
       }
     }
   }
 
+  /** Throws `overloaded` if no endpoint can answer the call before its deadline. */
+  private refuseIfHopeless(request: CallerRequest, outgoing: OutgoingCall): void {
+    const waitMs = this.options.choice.shortestWaitMs(outgoing.service);
+    if (!isHopeless(waitMs, this.refusalOf(request))) return;
+    throw this.overloaded(
+      `the expected wait of ${Math.round(waitMs)} ms at service ${outgoing.service} exceeds the time left`,
+      request,
+      outgoing,
+    );
+  }
+
+  private noEndpoint(
+    request: CallerRequest,
+    outgoing: OutgoingCall,
+    triedCount: number,
+  ): CallError {
+    const message = `no endpoint of service ${outgoing.service} can accept the call (${triedCount} tried)`;
+    const error = this.overloaded(message, request, outgoing);
+    if (triedCount > 0) return error;
+    const { retryAfterMs } = error;
+    return new CallError({ kind: 'no-endpoint', message: error.message, retryAfterMs });
+  }
+
+  /** Adds a retry delay to a refusal by an endpoint. */
+  private withRetryDelay(
+    failure: CallError,
+    request: CallerRequest,
+    outgoing: OutgoingCall,
+  ): CallError {
+    if (failure.kind !== 'overloaded') return failure;
+    return this.overloaded(failure.message, request, outgoing);
+  }
+
+  private overloaded(reason: string, request: CallerRequest, outgoing: OutgoingCall): CallError {
+    const waitMs = this.options.choice.shortestWaitMs(outgoing.service);
+    const retryAfterMs = retryDelayMs(waitMs, this.refusalOf(request));
+    const message = `${reason}; retry after ${retryAfterMs} ms`;
+    return new CallError({ kind: 'overloaded', message, retryAfterMs });
+  }
+
+  private refusalOf(request: CallerRequest): RefusalRequest {
+    const { callHeaders, route } = request;
+    const isCallOfProgram = callHeaders.program !== undefined && route.kind !== 'stream';
+    return {
+      remainingMs: remainingMs(request, this.options.clock),
+      isContinuation: callHeaders.previousTurn !== undefined || isCallOfProgram,
+      random: Math.random(),
+    };
+  }
+
   private trace({ trace }: CallerRequest, { id }: Endpoint): void {
     const { choice, clock, stalenessMs } = this.options;
     const reportedAtMs = choice.directory.get(id)?.reportedAtMs;
@@ -157,8 +195,7 @@
     message.destroy();
     throw new CallError({
       kind: 'overloaded',
-      message: `endpoint ${endpoint.id} refused the call with status ${status}; retry later`,
-      retryAfterMs: RETRY_AFTER_MS,
+      message: `endpoint ${endpoint.id} refused the call with status ${status}`,
     });
   }
   // From such a status, callers would conclude that the call did not run, although the endpoint has
@@ -172,11 +209,3 @@
     execution: 'unknown',
   });
 }
-
-function noEndpoint(service: string, triedCount: number): CallError {
-  return new CallError({
-    kind: triedCount > 0 ? 'overloaded' : 'no-endpoint',
-    message: `no endpoint of service ${service} can accept the call (${triedCount} tried); retry after ${RETRY_AFTER_MS} ms`,
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-}
--- a/packages/gateway/src/endpointChoice.ts
+++ b/packages/gateway/src/endpointChoice.ts
@@ -4,6 +4,7 @@
   type ChoiceRequest,
   EndpointDirectory,
   type EndpointView,
+  shortestWaitMs,
 } from '@marjorampin/routing';
 import type { Clock, Endpoint } from '@marjorampin/types';
 import type { AnswerHeaders } from './headerCodec';
@@ -83,6 +84,12 @@
     return chooseEndpoint(shuffled, request, ENGINE_COSTS)?.endpoint;
   }
 
+  /** Returns the shortest expected wait at any endpoint of a service that may get new calls. */
+  shortestWaitMs(service: string): number {
+    const views = this.directory.available(service).map((view) => this.withoutStaleLoad(view));
+    return shortestWaitMs(views, ENGINE_COSTS);
+  }
+
   /** Updates an endpoint's load and availability from the status and headers of an answer. */
   recordAnswer(
     endpoint: Endpoint,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,5 +2,6 @@
 export * from './admission';
 export * from './chooseEndpoint';
 export * from './endpointDirectory';
+export * from './refusal';
 export * from './route';
 export * from './routeTable';
--- /dev/null
+++ b/packages/routing/src/refusal.ts
@@ -0,0 +1,51 @@
+import { expectedWaitMs } from './chooseEndpoint';
+import type { ChoiceOptions } from './chooseEndpoint';
+import type { EndpointView } from './endpointDirectory';
+
+/** Shortest retry delay: about one call at an endpoint has ended by then. */
+const MINIMUM_DELAY_MS = 100;
+/** Share of the remaining time that a caller may be told to wait, so that two attempts are left. */
+const MAXIMUM_DELAY_SHARE = 1 / 3;
+/** Calls that continue a program return in the first half of the delay, new ones in the second. */
+const CONTINUATION_SHARE = 0.5;
+
+/** A call that may have to be refused. */
+export interface RefusalRequest {
+  /** Milliseconds until the caller's deadline. */
+  remainingMs: number;
+  /** Whether the call continues a program whose earlier calls would be lost with it. */
+  isContinuation: boolean;
+  /** Random number from 0 to 1 that spreads the returns of callers. */
+  random: number;
+}
+
+/** Returns the shortest expected wait at any endpoint; infinite if there is none. */
+export function shortestWaitMs(views: EndpointView[], options: ChoiceOptions): number {
+  return Math.min(Infinity, ...views.map((view) => expectedWaitMs(view, options)));
+}
+
+/**
+ * Returns whether a call can't be answered before its deadline even at the least loaded endpoint.
+ * Answers bursts beyond the capacity: callers learn at once that they have to come back, instead of
+ * waiting in a queue until their time is over.
+ */
+export function isHopeless(waitMs: number, { remainingMs }: RefusalRequest): boolean {
+  return Number.isFinite(waitMs) && waitMs > remainingMs;
+}
+
+/**
+ * Returns the delay after which a refused caller should retry, in milliseconds: about the time in
+ * which the least loaded endpoint works off its queue. Answers the return of many refused callers
+ * at the same time: delays are spread, and calls that continue a program return before new ones.
+ */
+export function retryDelayMs(
+  waitMs: number,
+  { remainingMs, isContinuation, random }: RefusalRequest,
+): number {
+  const drainMs = Number.isFinite(waitMs) ? Math.max(waitMs, MINIMUM_DELAY_MS) : MINIMUM_DELAY_MS;
+  const position = isContinuation
+    ? random * CONTINUATION_SHARE
+    : CONTINUATION_SHARE + random * (1 - CONTINUATION_SHARE);
+  const delayMs = MINIMUM_DELAY_MS + 2 * drainMs * position;
+  return Math.round(Math.min(delayMs, Math.max(0, remainingMs) * MAXIMUM_DELAY_SHARE));
+}
