Continue interrupted resumable streams at another endpoint within the same answer

Cause: a stream that broke off ended the caller's answer, although its route allows another run to continue it after the last event. Change: on resumable routes only whole events are passed on; after an interruption, another endpoint is asked to continue after the last one, within the attempts of the route and the caller's time, with the headers of the first answer. The settlement of the tokens waits until no run can continue.

--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -4,6 +4,7 @@
 import type { HeaderCodec } from './headerCodec';
 import { type EndpointAnswer, readAnswerBody } from './endpointExchange';
 import { headerValue } from './rawHeaders';
+import { WholeEvents } from './wholeEvents';
 
 /** Answers up to this size are buffered before any part is sent. If an answer is interrupted, the call
  * can then be retried at another endpoint. */
@@ -39,28 +40,53 @@
   response.end(body);
 }
 
+/** How `relayStream` passes a stream on. */
+export interface RelayOptions {
+  /** Passes on only complete events, so that another run can continue an interrupted stream. */
+  isResumable: boolean;
+  /** Receives the bytes that are passed on. */
+  onBytes?(bytes: Buffer): void;
+}
+
 /**
- * Sends an answer's headers, then each chunk as it arrives, but doesn't end the response. Throws
- * `endpoint-failed` when the answer is interrupted.
+ * Sends an answer's headers unless those of an earlier run were sent, then the stream as it arrives,
+ * but doesn't end the response. Throws `endpoint-failed` when the answer is interrupted.
  */
 export async function relayStream(
   response: http.ServerResponse,
-  { status, headers, message }: EndpointAnswer,
+  answer: EndpointAnswer,
   headerCodec: HeaderCodec,
-  onChunk: (chunk: Buffer) => void = () => undefined,
+  { isResumable, onBytes = () => undefined }: RelayOptions,
 ): Promise<void> {
-  response.writeHead(status, headerCodec.writeAnswer(headers));
+  const { status, headers, message } = answer;
+  if (!response.headersSent) response.writeHead(status, headerCodec.writeAnswer(headers));
+  else if (status !== 200) throw notContinued(answer);
+  const events = isResumable ? new WholeEvents() : undefined;
+  const pass = async (bytes: Buffer) => {
+    if (bytes.length === 0) return;
+    onBytes(bytes);
+    if (response.write(bytes) || response.destroyed) return;
+    await Promise.race([once(response, 'drain'), once(response, 'close')]);
+  };
   try {
     for await (const chunk of message) {
-      onChunk(chunk as Buffer);
-      if (!response.write(chunk) && !response.destroyed) {
-        await Promise.race([once(response, 'drain'), once(response, 'close')]);
-      }
+      await pass(events ? events.next(chunk as Buffer) : (chunk as Buffer));
     }
   } catch (error) {
     throw unreadableAnswer(error);
   }
   if (!message.complete) throw unreadableAnswer(new Error('the connection closed prematurely'));
+  if (events) await pass(events.remainder);
+}
+
+/** Returns the error for an answer that does not continue the stream of an earlier run. */
+function notContinued({ status, message }: EndpointAnswer): CallError {
+  message.destroy();
+  return new CallError({
+    kind: 'endpoint-failed',
+    message: `the endpoint answered with status ${status} instead of continuing the stream`,
+    execution: 'unknown',
+  });
 }
 
 function unreadableAnswer(error: unknown): CallError {
--- a/packages/gateway/src/callForwarder.ts
+++ b/packages/gateway/src/callForwarder.ts
@@ -1,6 +1,7 @@
 import { pickService } from '@marjorampin/routing';
 import { isBufferable, bufferAnswer, relayStream, sendBufferedAnswer } from './answerRelay';
 import type { CallerRequest } from './callerRequest';
+import { EventReader } from './eventReader';
 import type { HeaderCodec } from './headerCodec';
 import type { EndpointAttempts } from './endpointAttempts';
 
@@ -20,14 +21,19 @@
     const { route, response, body, callHeaders } = request;
     const service = pickService(route.destinations, Math.random()) ?? '';
     const { promptTokens: contextTokens } = callHeaders;
-    const outgoing = { service, body, warmEndpoint: '', contextTokens };
+    const { isResumable } = route;
+    const events = new EventReader();
+    const lastEventId = () => events.lastEventId;
+    const outgoing = { service, body, warmEndpoint: '', contextTokens, lastEventId };
+    const onBytes = (bytes: Buffer) => events.read(bytes);
+    const relayOptions = isResumable ? { isResumable, onBytes } : { isResumable };
     await this.attempts.run(request, outgoing, async (answer) => {
       if (route.kind !== 'stream' && isBufferable(answer)) {
         const answerBody = await bufferAnswer(answer);
         sendBufferedAnswer(response, answer, answerBody, this.headerCodec);
         return;
       }
-      await relayStream(response, answer, this.headerCodec);
+      await relayStream(response, answer, this.headerCodec, relayOptions);
       response.end();
     });
   }
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -28,6 +28,8 @@
   body: Buffer;
   warmEndpoint: string;
   contextTokens: number;
+  /** Returns the id of the last event that was passed on, from which another run can continue. */
+  lastEventId?(): string | undefined;
 }
 
 /** Processes an answer; an `endpoint-failed` error from it is recorded as the endpoint's failure. */
@@ -65,7 +67,8 @@
       } catch (error) {
         const failure = toCallError(error);
         history.record(failure);
-        const isFinal = request.signal.aborted || request.response.headersSent;
+        const isBegun = request.response.headersSent && !route.isResumable;
+        const isFinal = request.signal.aborted || isBegun;
         if (isFinal || !history.allowsRepeat(failure)) {
           throw history.outcomeOf(this.withRetryDelay(failure, request, outgoing));
         }
@@ -136,7 +139,12 @@
 
   private async send<T>(
     request: CallerRequest,
-    { body, service, mayReuseConnection }: OutgoingCall & { mayReuseConnection: boolean },
+    {
+      body,
+      service,
+      lastEventId,
+      mayReuseConnection,
+    }: OutgoingCall & { mayReuseConnection: boolean },
     endpoint: Endpoint,
     handleAnswer: AnswerHandler<T>,
   ): Promise<T> {
@@ -147,6 +155,7 @@
       endpoint,
       remainingMs: leftMs,
       urgency: route.kind === 'stream' ? route.rank : undefined,
+      lastEventId: lastEventId?.(),
       bodyBytes: body.length > 0 || message.method !== 'GET' ? body.length : undefined,
     });
     const { directory } = choice;
--- a/packages/gateway/src/eventReader.ts
+++ b/packages/gateway/src/eventReader.ts
@@ -11,6 +11,8 @@
 
   private readonly data: string[] = [];
 
+  private lastId: string | undefined;
+
   private hasPartialEvent = false;
 
   /** End of the text read so far, which shows a blank line that is split over chunks. */
@@ -18,8 +20,9 @@
 
   constructor() {
     this.parser = createParser({
-      onEvent: ({ data }) => {
+      onEvent: ({ data, id }) => {
         this.data.push(data);
+        this.lastId = id ?? this.lastId;
       },
     });
   }
@@ -37,6 +40,11 @@
     return this.data.length + (this.hasPartialEvent ? 1 : 0);
   }
 
+  /** Id of the last complete event that has one. */
+  get lastEventId(): string | undefined {
+    return this.lastId;
+  }
+
   /** Data of the complete events, each followed by a line feed. */
   get output(): Buffer {
     return Buffer.from(this.data.map((text) => `${text}\n`).join(''));
--- a/packages/gateway/src/headerCodec.ts
+++ b/packages/gateway/src/headerCodec.ts
@@ -32,6 +32,9 @@
   remainingMs: number;
   /** Order among the endpoint's calls, 0 first; undefined when the call has none. */
   urgency: number | undefined;
+  /** Id of the last event of an interrupted stream that this call continues; undefined to keep the
+   * one that the caller sent, if any. */
+  lastEventId: string | undefined;
   /** Length of the body; undefined for a call without one. */
   bodyBytes: number | undefined;
 }
--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -32,6 +32,8 @@
   /** The turns that this one continues, oldest first. */
   chain: TurnRecord[];
   tokensPerEvent: number;
+  /** Events passed on to the caller, by all runs of a resumed stream. */
+  events: EventReader;
 }
 
 /** Forwards turns of programs and accounts their tokens. On a route that stores turns, a turn is sent
@@ -61,13 +63,15 @@
     };
     const chain = await this.options.turns.reserve(reservation);
     const tokensPerEvent = findService(service)?.engine?.tokensPerEvent ?? 1;
-    const turn: OpenTurn = { request, program, reservation, chain, tokensPerEvent };
+    const events = new EventReader();
+    const turn: OpenTurn = { request, program, reservation, chain, tokensPerEvent, events };
     const context = chain.flatMap(({ input, output }) => [input, output]);
     const outgoing = {
       service,
       body: Buffer.concat([...context, body]),
       warmEndpoint: chain.at(-1)?.endpoint ?? '',
       contextTokens: callHeaders.promptTokens,
+      lastEventId: () => events.lastEventId,
     };
     let wasAnswered = false;
     try {
@@ -76,9 +80,10 @@
         return this.handleAnswer(turn, answer, endpoint);
       });
     } catch (error) {
-      // A turn that may have run keeps its whole reservation, as it may have used all of it.
+      // A turn without an answer that may have run keeps its whole reservation, as it may have used
+      // all of it. The settlement is final, so it waits until no other run can continue the stream.
       const didNotRun = error instanceof CallError && error.execution === 'not-run';
-      if (!wasAnswered && didNotRun) this.options.turns.settle(reservation, 0);
+      if (wasAnswered || didNotRun) this.options.turns.settle(reservation, usedTokens(turn));
       throw error;
     }
   }
@@ -90,40 +95,39 @@
   ): Promise<void> {
     const { headerCodec, turns } = this.options;
     const { response } = turn.request;
-    if (answer.status !== 200) {
+    if (answer.status !== 200 && !response.headersSent) {
       const answerBody = await bufferAnswer(answer);
       turns.settle(turn.reservation, 0);
       sendBufferedAnswer(response, answer, answerBody, headerCodec);
       return;
     }
-    const events = new EventReader();
-    try {
-      await relayStream(response, answer, headerCodec, (chunk) => events.read(chunk));
-      await this.finish(turn, events, endpoint);
-    } catch (error) {
-      turns.settle(turn.reservation, events.startedCount * turn.tokensPerEvent);
-      throw error;
-    }
+    await relayStream(response, answer, headerCodec, {
+      isResumable: turn.request.route.isResumable,
+      onBytes: (bytes) => turn.events.read(bytes),
+    });
+    await this.finish(turn, endpoint);
     response.end();
   }
 
   /** Stores a completed turn, or only the tokens that it used if its route does not store turns. */
-  private async finish(turn: OpenTurn, events: EventReader, endpoint: Endpoint): Promise<void> {
+  private async finish(turn: OpenTurn, endpoint: Endpoint): Promise<void> {
     const { turns } = this.options;
     if (turn.request.route.storesTurns) {
-      await turns.commit(createTurnRecord(turn, events, endpoint)).catch(throwNotStored);
+      await turns.commit(createTurnRecord(turn, endpoint)).catch(throwNotStored);
       return;
     }
     // The answer doesn't wait for this: until it is stored, the larger reservation counts.
-    turns.settle(turn.reservation, events.startedCount * turn.tokensPerEvent);
+    turns.settle(turn.reservation, usedTokens(turn));
   }
 }
 
-function createTurnRecord(
-  { request, program, reservation, chain, tokensPerEvent }: OpenTurn,
-  events: EventReader,
-  endpoint: Endpoint,
-): TurnRecord {
+/** Returns the tokens of the events that were passed on to the caller. */
+function usedTokens({ events, tokensPerEvent }: OpenTurn): number {
+  return events.startedCount * tokensPerEvent;
+}
+
+function createTurnRecord(turn: OpenTurn, endpoint: Endpoint): TurnRecord {
+  const { request, program, reservation, chain, events } = turn;
   const last = chain.at(-1);
   return create(TurnRecordSchema, {
     turn: request.callHeaders.requestId,
@@ -131,7 +135,7 @@
     ancestors: last ? [...last.ancestors, last.turn] : [],
     input: request.body,
     output: events.output,
-    outputTokens: events.startedCount * tokensPerEvent,
+    outputTokens: usedTokens(turn),
     endpoint: endpoint.id,
     retentionMs: reservation.retentionMs,
   });
