--- a/packages/turns/src/durableLog.ts
+++ b/packages/turns/src/durableLog.ts
@@ -115,7 +115,7 @@
     const bytes = Buffer.concat(events.map(encode));
     const segment = this.segments.at(-1);
     if (segment) segment.expiresAtMs = Math.max(segment.expiresAtMs, ...events.map(expiryOf));
-    await file.appendFile(bytes);
+    await writeAll(file, bytes);
     await file.datasync();
     this.fileBytes += bytes.length;
     if (this.fileBytes < this.options.segmentBytes) return;
@@ -174,6 +174,15 @@
   return Buffer.concat([header, body]);
 }
 
+/** Appends all bytes; a single write may be partial. */
+async function writeAll(file: FileHandle, bytes: Buffer): Promise<void> {
+  let offset = 0;
+  while (offset < bytes.length) {
+    const { bytesWritten } = await file.write(bytes, offset);
+    offset += bytesWritten;
+  }
+}
+
 /** Syncs a folder, so that files created or renamed in it survive a power failure. */
 export async function syncFolder(folder: string): Promise<void> {
   const handle = await open(folder, 'r');
