Hedge keepers' calls by their usual latency, one missing reply at a time

The delay was fixed at 40 ms; on a busy entry its timer fired before replies that had already arrived were read, and under load all replies are later than that, so each request cost up to two thirds more and slowed the next ones. Change: the delay is three times the expected latency of the slowest keeper called, 40 to 300 ms; arrived replies are read first; only as many more keepers are called as replies are missing. A keeper of another domain has to be faster by a margin to be preferred.

--- a/packages/turns/src/__tests__/turnMessages.test.ts
+++ b/packages/turns/src/__tests__/turnMessages.test.ts
@@ -22,7 +22,11 @@
 const RETENTION_MS = 60_000;
 const hash = await loadHash();
 
-interface StoredReservation { turn: string; tokens: number; settled: boolean }
+interface StoredReservation {
+  turn: string;
+  tokens: number;
+  settled: boolean;
+}
 
 /** Turns of a program with a budget of 100 tokens that reserves 30 for each, and the messages that
  * an entry sends for them. */
@@ -128,3 +132,41 @@
     );
   });
 });
+
+/** Latency of all keepers and the expected number of keepers called for each of the last writes. */
+const LATENCY_CASES = [
+  { name: 'fast', latencyMs: 10, calls: 3 },
+  { name: 'all slower than the shortest hedge delay', latencyMs: 60, calls: 3 },
+];
+
+LATENCY_CASES.forEach(({ name, latencyMs, calls }) => {
+  test(`no more keepers than needed are called while they are ${name}`, async () => {
+    const clock = new ManualClock();
+    let sent = 0;
+    const peers: PeerConnections = {
+      get: () => ({
+        call: async (body) => {
+          sent += 1;
+          await clock.sleep(latencyMs);
+          return replyTo(body, []);
+        },
+      }),
+      drop: () => undefined,
+    };
+    const log = new MemoryEventLog();
+    const store = new TurnStore({ peers, hash, lossLimit: 2, domain: 'a', clock, log });
+    store.adopt(ROSTER);
+    const counts: number[] = [];
+    for (let index = 0; index < 12; index += 1) {
+      const before = sent;
+      const commit = store.commit(create(TurnRecordSchema, { program: 'p', turn: `t${index}` }));
+      for (let step = 0; step < 20; step += 1) {
+        await setImmediate();
+        await clock.advance(10);
+      }
+      await commit;
+      counts.push(sent - before);
+    }
+    assert.deepEqual(counts.slice(-4), [calls, calls, calls, calls]);
+  });
+});
--- a/packages/turns/src/callQuorum.ts
+++ b/packages/turns/src/callQuorum.ts
@@ -5,14 +5,18 @@
 /** Timeout of a call to a quorum; well above the time of a sync on a busy disk. */
 export const QUORUM_TIMEOUT_MS = 900;
 
+/** Time to read replies that arrived while this process was busy; at least one turn of the event
+ * loop. */
+const UNREAD_REPLIES_MS = 1;
+
 /** Options of `callQuorum`. */
 export interface QuorumOptions {
   /** Keepers in the order in which they are called. */
   group: Keeper[];
   /** Number of replies that make a quorum. */
   needed: number;
-  /** Delay before all keepers beyond the first `needed` are called. Each failed call makes the next
-   * one start immediately. */
+  /** Delay after which as many more keepers are called as replies are missing, and again after each
+   * such delay. Each failed call makes the next one start immediately. */
   hedgeMs: number;
   timeoutMs: number;
   clock: Clock;
@@ -66,15 +70,27 @@
       reject(keepersUnavailable('no keeper is registered'));
       return;
     }
-    const callRest = () => {
+    const callMissing = () => {
       onDelay(group.slice(0, called).filter((keeper) => !settled.has(keeper)));
-      while (called < group.length) callNext();
+      const target = Math.min(group.length, called + needed - replies.length);
+      while (called < target) callNext();
+    };
+    const scheduleHedge = () => {
+      const hedge = () => {
+        if (replies.length >= needed) return;
+        callMissing();
+        if (called < group.length) scheduleHedge();
+      };
+      // If this process was busy, replies that have arrived are read before the second delay ends.
+      const readReplies = () => timers.push(clock.after(UNREAD_REPLIES_MS, hedge));
+      timers.push(clock.after(hedgeMs, readReplies));
     };
     const onTimeout = () => {
       const text = `only ${replies.length} of the required ${needed} keepers replied in time`;
       finish(() => reject(keepersUnavailable(text)));
     };
-    timers.push(clock.after(hedgeMs, callRest), clock.after(timeoutMs, onTimeout));
+    timers.push(clock.after(timeoutMs, onTimeout));
+    scheduleHedge();
     while (called < needed) callNext();
   });
 }
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -22,9 +22,12 @@
 import { keepersUnavailable } from './keepersUnavailable';
 import { mergeReservations } from './programTable';
 
-/** Delay before the remaining keepers of a group are called too. A responsive keeper replies sooner,
- * as the delay covers several round trips and syncs. */
-const HEDGE_MS = 40;
+/** Bounds of the delay before more keepers of a group are called. The shortest covers several round
+ * trips and syncs, the longest leaves time for another keeper before the timeout. */
+const MINIMUM_HEDGE_MS = 40;
+const MAXIMUM_HEDGE_MS = 300;
+/** The delay is this multiple of the expected latency of the slowest keeper that is called first. */
+const HEDGE_FACTOR = 3;
 /** Time for which a request to a quorum is retried. */
 const QUORUM_RETRY_TIMEOUT_MS = 1_000;
 /** Delay before each retry; after a roster change, keepers are not ready for about 10 ms. */
@@ -34,9 +37,9 @@
 /** Timeout of a probe; well above the time of a reply from a busy keeper. */
 const PROBE_TIMEOUT_MS = 500;
 const PROBE: RequestBody = { case: 'probe', value: {} };
-/** Usual latency of a reply from a keeper of the same failure domain, and from another one. */
-const LOCAL_MS = 4;
-const REMOTE_MS = 8;
+/** Usual latency of a reply from a keeper of the same failure domain, and what another one adds. */
+const USUAL_MS = 4;
+const OTHER_DOMAIN_MS = 4;
 
 /** Request to the keepers of a program. */
 export type GroupRequest =
@@ -154,13 +157,15 @@
     const { clock } = this.options;
     const { version } = this.activeRoster;
     const group = this.sortByLatency(this.groupOf(program));
+    const needed = quorumSize(group.length);
+    const hedgeMs = this.hedgeMs(group.slice(0, needed));
     return callQuorum({
       group,
-      needed: quorumSize(group.length),
-      hedgeMs: HEDGE_MS,
+      needed,
+      hedgeMs,
       timeoutMs: QUORUM_TIMEOUT_MS,
       clock,
-      onDelay: (delayed) => delayed.forEach(({ id }) => this.monitor.recordDelay(id, HEDGE_MS)),
+      onDelay: (delayed) => delayed.forEach(({ id }) => this.monitor.recordDelay(id, hedgeMs)),
       call: async (keeper, index) => {
         const reply = await this.callKeeper(keeper, bodyFor(request, version, index));
         if (isSuccess(reply)) return reply;
@@ -169,14 +174,29 @@
     });
   }
 
+  /**
+   * Returns the delay before more keepers are called. Answers load under which all replies are late:
+   * with a fixed delay, most requests would go to more keepers than needed and slow all of them down.
+   */
+  private hedgeMs(called: Keeper[]): number {
+    const slowestMs = Math.max(...called.map((keeper) => this.expectedMs(keeper)));
+    return Math.min(MAXIMUM_HEDGE_MS, Math.max(MINIMUM_HEDGE_MS, HEDGE_FACTOR * slowestMs));
+  }
+
+  private expectedMs(keeper: Keeper): number {
+    return this.monitor.expectedMs(keeper.id, USUAL_MS + this.distanceMs(keeper));
+  }
+
+  private distanceMs({ domain }: Keeper): number {
+    return domain === this.options.domain ? 0 : OTHER_DOMAIN_MS;
+  }
+
+  /** Sorts keepers by latency; one of another domain has to be faster by a margin, as the bytes that
+   * cross domains have a cost. */
   private sortByLatency(keepers: Keeper[]): Keeper[] {
-    const { domain } = this.options;
     return keepers
-      .map((keeper) => {
-        const usualMs = keeper.domain === domain ? LOCAL_MS : REMOTE_MS;
-        return { keeper, expectedMs: this.monitor.expectedMs(keeper.id, usualMs) };
-      })
-      .sort((a, b) => (a.expectedMs === b.expectedMs ? 0 : a.expectedMs - b.expectedMs))
+      .map((keeper) => ({ keeper, costMs: this.expectedMs(keeper) + this.distanceMs(keeper) }))
+      .sort((a, b) => (a.costMs === b.costMs ? 0 : a.costMs - b.costMs))
       .map(({ keeper }) => keeper);
   }
 
