Let the processes of a failure domain come to share their reads of the store

Change: common reads at fixed times of the keeper's clock; a request up to 1.25 of the gathering time before one waits for it, others are read at once, which shifts their process towards a common read.

--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -74,7 +74,7 @@
       isFirstStart,
       lossLimit: 1,
       store: this.store,
-      pollIntervalMs: 20,
+      readTimes: { intervalMs: 20, gatheringMs: 2, timeoutMs: 500 },
       retirement: orders,
       clock,
       log: this.log,
--- a/packages/turns/src/__tests__/relayedStore.test.ts
+++ b/packages/turns/src/__tests__/relayedStore.test.ts
@@ -3,13 +3,14 @@
 import { create } from '@bufbuild/protobuf';
 import { MemoryEventLog } from '@marjorampin/logging';
 import { type PeerConnections, ReplySchema, RosterSchema } from '@marjorampin/protocol';
-import { MemoryKeyValueStore } from '@marjorampin/store';
+import { MemoryKeyValueStore, WatchedPrefix } from '@marjorampin/store';
 import { CallError, ManualClock } from '@marjorampin/types';
 import { RelayedStore } from '../relayedStore';
 import { SharedList } from '../sharedList';
 
 const ENTRIES = 10;
 const TIMEOUT_MS = 500;
+const READ_TIMES = { intervalMs: 1_000, gatheringMs: 40 };
 const ROSTER = create(RosterSchema, {
   version: 1,
   keepers: ['a1', 'a2', 'b1'].map((id) => ({ id, address: id, domain: id[0] ?? '' })),
@@ -57,11 +58,16 @@
   },
 ];
 
-function relayedStores(clock: ManualClock, domain: string, states: Record<string, KeeperState>) {
+function relayedStores(
+  clock: ManualClock,
+  domain: string,
+  states: Record<string, KeeperState>,
+  readTimes = READ_TIMES,
+) {
   const store = new MemoryKeyValueStore();
   const asked = new Set<string>();
   const lists = new Map(
-    ROSTER.keepers.map(({ id }) => [id, new SharedList({ store, clock })] as const),
+    ROSTER.keepers.map(({ id }) => [id, new SharedList({ store, clock, readTimes })] as const),
   );
   const peers: PeerConnections = {
     get: (address) => ({
@@ -116,7 +122,7 @@
   const [first, second] = entries;
   assert.ok(first && second);
   const earlier = first.list('');
-  await clock.advance(40);
+  await clock.advance(READ_TIMES.gatheringMs);
   // The first read is under way; the second request may not be answered by it.
   await store.compareAndSwap({ key: 'k', value: 'v', expectedVersion: 0 });
   const later = second.list('');
@@ -127,3 +133,27 @@
     ['k'],
   );
 });
+
+// The processes of a domain start at different times; each reads, waits for the interval, and repeats.
+test('processes that start at different times come to share their reads', async () => {
+  const clock = new ManualClock();
+  const times = { intervalMs: 1_280, gatheringMs: 400 };
+  const { store, entries } = relayedStores(clock, 'a', {}, times);
+  const watches = entries.map(
+    (entry) =>
+      new WatchedPrefix({ store: entry, clock, prefix: '', pollIntervalMs: times.intervalMs }),
+  );
+  for (const watch of watches) {
+    watch.start();
+    await clock.advance(171);
+  }
+  await clock.advance(60_000);
+  const before = store.counts.reads;
+  await clock.advance(60_000);
+  watches.forEach((watch) => watch.stop());
+  const periods = 60_000 / (times.intervalMs + times.gatheringMs);
+  const reads = store.counts.reads - before;
+  // Separate reads would be ten for each period.
+  assert.ok(reads <= 1.2 * periods, `${reads} reads in ${Math.round(periods)} periods`);
+  assert.ok(Math.max(...watches.map(({ ageMs }) => ageMs)) <= 2 * times.intervalMs);
+});
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -18,8 +18,8 @@
 import { replayEvent } from './replayEvent';
 import { countDepartures, restoreFromPeers } from './restoration';
 import { type RetirementOrders, RosterMaintainer } from './rosterMaintainer';
-import { RELAY_TIMEOUT_SHARE, RelayedStore } from './relayedStore';
-import { ALL_KEYS, SharedList } from './sharedList';
+import { RelayedStore } from './relayedStore';
+import { ALL_KEYS, SharedList, type ValueReadTimes } from './sharedList';
 
 /** Delay before a restoration that lacked sources is retried. */
 const RESTORATION_RETRY_DELAY_MS = 200;
@@ -40,8 +40,7 @@
   /** Number of keepers whose disks may be lost at once. */
   lossLimit: number;
   store: KeyValueStore;
-  /** Interval between reads of the store's values, in milliseconds. */
-  pollIntervalMs: number;
+  readTimes: ValueReadTimes;
   retirement: RetirementOrders;
   clock: Clock;
   log: EventLog;
@@ -81,9 +80,9 @@
 
   constructor(options: KeeperProcessOptions) {
     this.options = options;
-    const { folder, log, store, clock } = options;
+    const { folder, log, store, clock, readTimes } = options;
     this.durableLog = new DurableLog({ folder, log });
-    this.sharedList = new SharedList({ store, clock });
+    this.sharedList = new SharedList({ store, clock, readTimes });
   }
 
   /** Replays the log, listens, and joins the roster in the background; returns the port in use. */
@@ -162,14 +161,15 @@
   }
 
   private watchValues(handler: KeeperHandler, peers: PeerPool): WatchedPrefix {
-    const { id, domain, clock, log, store, pollIntervalMs } = this.options;
+    const { id, domain, clock, log, store, readTimes } = this.options;
+    const { timeoutMs, intervalMs: pollIntervalMs } = readTimes;
     const relayed = new RelayedStore({
       store,
       peers,
       domain,
       clock,
       log,
-      timeoutMs: pollIntervalMs * RELAY_TIMEOUT_SHARE,
+      timeoutMs,
       roster: () => handler.roster,
       own: { id, list: this.sharedList },
     });
--- a/packages/turns/src/relayedStore.ts
+++ b/packages/turns/src/relayedStore.ts
@@ -15,9 +15,6 @@
 /** Time for which a keeper that could not list the values is not asked again. */
 const EXCLUSION_MS = 5_000;
 
-/** Share of a poll interval to wait for a keeper: the store can still be read within the interval. */
-export const RELAY_TIMEOUT_SHARE = 0.3;
-
 /** Options of `RelayedStore`. */
 export interface RelayedStoreOptions {
   store: KeyValueStore;
