--- a/scripts/checkTestResults.mjs
+++ b/scripts/checkTestResults.mjs
@@ -16,7 +16,8 @@
 
 const unexpected = [...failed].filter((name) => !known.has(name));
 const notFailing = [...known].filter((name) => !failed.has(name));
-if (listed.trim() !== '') console.log(`Known failures; failed tests among them are ignored:\n${listed}`);
+if (listed.trim() !== '')
+  console.log(`Known failures; failed tests among them are ignored:\n${listed}`);
 unexpected.forEach((name) => console.log(`Failed: ${name}`));
 notFailing.forEach((name) =>
   console.log(`Listed in KNOWN-RED.txt but did not fail, remove the entry: ${name}`),
