--- /dev/null
+++ b/packages/gateway/src/answerBody.ts
@@ -0,0 +1,84 @@
+import type http from 'node:http';
+import { EventBoundary } from './eventBoundary';
+
+/** What marks the end of an answer's body; `close`: only the end of the connection. */
+export type AnswerFraming = 'length' | 'chunked' | 'close';
+
+/** How a body ended, or `unread` until it has; `inside-event`: in order, but within an event. */
+export type AnswerEnding = 'unread' | 'whole' | 'inside-event' | 'interrupted';
+
+/** Options of `AnswerBody`. */
+export interface AnswerBodyOptions {
+  /** The answer, of which only the headers have been read. */
+  message: http.IncomingMessage;
+  /** Whether the body is a stream of server-sent events. */
+  isEventStream: boolean;
+}
+
+/** Body of an endpoint's answer, which is read once. */
+export class AnswerBody {
+  /** What marks the end of the body. */
+  readonly framing: AnswerFraming;
+
+  private readonly message: http.IncomingMessage;
+
+  private readonly boundary: EventBoundary | undefined;
+
+  private receivedBytes = 0;
+
+  private reachedEnding: AnswerEnding = 'unread';
+
+  constructor({ message, isEventStream }: AnswerBodyOptions) {
+    this.message = message;
+    this.framing = framingOf(message);
+    if (this.framing === 'close') watchForReset(message);
+    if (isEventStream) this.boundary = new EventBoundary();
+  }
+
+  /** Number of bytes read so far. */
+  get bytes(): number {
+    return this.receivedBytes;
+  }
+
+  /** How the body ended. */
+  get ending(): AnswerEnding {
+    return this.reachedEnding;
+  }
+
+  /** Reads the body; throws when the answer is interrupted. */
+  async *[Symbol.asyncIterator](): AsyncGenerator<Buffer> {
+    const { message, boundary } = this;
+    this.reachedEnding = 'interrupted';
+    for await (const chunk of message) {
+      this.receivedBytes += (chunk as Buffer).length;
+      boundary?.read(chunk as Buffer);
+      yield chunk as Buffer;
+    }
+    if (!message.complete) throw new Error('the connection closed prematurely');
+    this.reachedEnding = boundary?.isInsideEvent ? 'inside-event' : 'whole';
+  }
+
+  /** Closes the connection without reading the rest of the body. */
+  destroy(): void {
+    this.message.destroy();
+  }
+}
+
+function framingOf({ headers }: http.IncomingMessage): AnswerFraming {
+  if (/\bchunked$/i.test(headers['transfer-encoding'] ?? '')) return 'chunked';
+  return headers['content-length'] === undefined ? 'close' : 'length';
+}
+
+/**
+ * Fails an answer without a declared length when a reset ends it. libuv reports a reset that arrives
+ * together with data as an orderly end; it can be detected only by the socket's missing remote
+ * address.
+ */
+function watchForReset(message: http.IncomingMessage): void {
+  const { socket } = message;
+  socket.prependOnceListener('end', () => {
+    if (!message.complete && socket.remoteAddress === undefined) {
+      message.destroy(new Error('the endpoint reset the connection'));
+    }
+  });
+}
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -17,9 +17,9 @@
 }
 
 /** Reads an answer's body; throws `endpoint-failed` when it is incomplete or too large. */
-export async function bufferAnswer({ message }: EndpointAnswer): Promise<Buffer> {
+export async function bufferAnswer({ body }: EndpointAnswer): Promise<Buffer> {
   try {
-    return await readAnswerBody(message, MAXIMUM_BUFFERED_BYTES);
+    return await readAnswerBody(body, MAXIMUM_BUFFERED_BYTES);
   } catch (error) {
     throw unreadableAnswer(error);
   }
@@ -58,7 +58,7 @@
   headerCodec: HeaderCodec,
   { isResumable, onBytes = () => undefined }: RelayOptions,
 ): Promise<void> {
-  const { status, headers, message } = answer;
+  const { status, headers, body } = answer;
   if (!response.headersSent) response.writeHead(status, headerCodec.writeAnswer(headers));
   else if (status !== 200) throw notContinued(answer);
   const events = isResumable ? new WholeEvents() : undefined;
@@ -69,19 +69,18 @@
     await Promise.race([once(response, 'drain'), once(response, 'close')]);
   };
   try {
-    for await (const chunk of message) {
-      await pass(events ? events.next(chunk as Buffer) : (chunk as Buffer));
+    for await (const chunk of body) {
+      await pass(events ? events.next(chunk) : chunk);
     }
   } catch (error) {
     throw unreadableAnswer(error);
   }
-  if (!message.complete) throw unreadableAnswer(new Error('the connection closed prematurely'));
   if (events) await pass(events.remainder);
 }
 
 /** Returns the error for an answer that does not continue the stream of an earlier run. */
-function notContinued({ status, message }: EndpointAnswer): CallError {
-  message.destroy();
+function notContinued({ status, body }: EndpointAnswer): CallError {
+  body.destroy();
   return new CallError({
     kind: 'endpoint-failed',
     message: `the endpoint answered with status ${status} instead of continuing the stream`,
--- a/packages/gateway/src/callTrace.ts
+++ b/packages/gateway/src/callTrace.ts
@@ -1,3 +1,5 @@
+import type { AnswerBody } from './answerBody';
+
 /** A chosen endpoint and the age of the data on which the choice is based. */
 export interface ChosenEndpoint {
   endpoint: string;
@@ -15,6 +17,8 @@
 
   private chosen: ChosenEndpoint | undefined;
 
+  private answerBody: AnswerBody | undefined;
+
   /** Sets the id of the program that the call belongs to. */
   setProgram(program: string | undefined): void {
     this.program = program;
@@ -24,10 +28,29 @@
   recordChoice(chosen: ChosenEndpoint): void {
     this.sends += 1;
     this.chosen = chosen;
+    this.answerBody = undefined;
+  }
+
+  /** Records that the headers of an answer have arrived. */
+  recordAnswer(body: AnswerBody): void {
+    this.answerBody = body;
+  }
+
+  /** Metric labels of the latest attempt: framing and ending of its answer, `none` without one. */
+  get answerLabels(): { framing: string; ending: string } {
+    const { framing = 'none', ending = 'none' } = this.answerBody ?? {};
+    return { framing, ending };
+  }
+
+  /** Log fields of the latest attempt's answer, none without one. */
+  get answerFields() {
+    if (!this.answerBody) return {};
+    const { framing, ending, bytes } = this.answerBody;
+    return { framing, ending, answerBytes: bytes };
   }
 
-  /** Log fields: the program, the number of choices, and the latest choice. */
+  /** Log fields: the program, the number of choices, the latest choice and its answer. */
   get fields() {
-    return { program: this.program, sends: this.sends, ...this.chosen };
+    return { program: this.program, sends: this.sends, ...this.chosen, ...this.answerFields };
   }
 }
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -148,8 +148,8 @@
     endpoint: Endpoint,
     handleAnswer: AnswerHandler<T>,
   ): Promise<T> {
-    const { choice, headerCodec, clock, log } = this.options;
-    const { message, route, callHeaders, signal } = request;
+    const { choice, headerCodec, clock, log, metrics } = this.options;
+    const { message, route, callHeaders, signal, trace } = request;
     const leftMs = remainingMs(request, clock);
     const headers = headerCodec.writeCall(message.rawHeaders, {
       endpoint,
@@ -171,9 +171,11 @@
           requestId: callHeaders.requestId,
           signal,
           mayReuseConnection,
+          expectsEvents: route.kind === 'stream',
         },
         headerCodec,
       );
+      trace.recordAnswer(answer.body);
       choice.recordAnswer(endpoint, answer.parsedHeaders, answer.status);
       checkAnswer(answer, endpoint);
       return await handleAnswer(answer, endpoint);
@@ -188,20 +190,22 @@
           kind: failure.kind,
           execution: failure.execution,
           leftMs: Math.round(leftMs),
+          ...trace.answerFields,
           reason: failure.message,
         });
       }
       throw failure;
     } finally {
       directory.callFinished(endpoint.id);
+      metrics.count('endpoint_answers_total', trace.answerLabels);
     }
   }
 }
 
 /** Throws if the answer must not be passed on to the caller. */
-function checkAnswer({ status, parsedHeaders, message }: EndpointAnswer, endpoint: Endpoint): void {
+function checkAnswer({ status, parsedHeaders, body }: EndpointAnswer, endpoint: Endpoint): void {
   if (parsedHeaders.isNotRun) {
-    message.destroy();
+    body.destroy();
     throw new CallError({
       kind: 'overloaded',
       message: `endpoint ${endpoint.id} refused the call with status ${status}`,
@@ -211,7 +215,7 @@
   // not stated this in its headers.
   const impliesNotRun = NOT_RUN_STATUSES.has(status);
   if (!impliesNotRun && (parsedHeaders.isGenuine || status < 200 || status >= 300)) return;
-  message.destroy();
+  body.destroy();
   throw new CallError({
     kind: 'endpoint-failed',
     message: `endpoint ${endpoint.id} answered with status ${status} but without the headers that confirm it; check the endpoint`,
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import type { Endpoint } from '@marjorampin/types';
 import { CallError, parsePeerAddress } from '@marjorampin/types';
+import { AnswerBody } from './answerBody';
 import type { AnswerHeaders, HeaderCodec, RawHeaders } from './headerCodec';
 
 /** Time within which an endpoint must accept a connection; otherwise the call isn't sent. */
@@ -17,6 +18,8 @@
   signal: AbortSignal;
   /** Whether to send the call on an idle connection of an earlier call, if there is one. */
   mayReuseConnection: boolean;
+  /** Whether the body of a success is a stream of server-sent events. */
+  expectsEvents: boolean;
 }
 
 /** Idle connections are closed after this time, as the endpoint may already be closing them. */
@@ -37,12 +40,12 @@
   return idle !== undefined && idle.length > 0;
 }
 
-/** Status and headers of an endpoint's answer; the body is still to be read from `message`. */
+/** An endpoint's answer, whose body is still to be read. */
 export interface EndpointAnswer {
   status: number;
   headers: RawHeaders;
   parsedHeaders: AnswerHeaders;
-  message: http.IncomingMessage;
+  body: AnswerBody;
 }
 
 /**
@@ -112,8 +115,9 @@
         return;
       }
       answerMessage = message;
-      watchForReset(message);
-      resolve({ status, headers: message.rawHeaders, parsedHeaders, message });
+      const isEventStream = call.expectsEvents && status === 200;
+      const answerBody = new AnswerBody({ message, isEventStream });
+      resolve({ status, headers: message.rawHeaders, parsedHeaders, body: answerBody });
     });
     request.on('error', (error) => {
       clearTimeout(connectTimer);
@@ -126,34 +130,12 @@
   });
 }
 
-/**
- * Fails an answer without a declared length when a reset ends it. libuv reports a reset that arrives
- * together with data as an orderly end; it can be detected only by the socket's missing remote
- * address.
- */
-function watchForReset(message: http.IncomingMessage): void {
-  const { socket, headers } = message;
-  const framing = headers['content-length'] ?? headers['transfer-encoding'];
-  if (framing !== undefined) return;
-  socket.prependOnceListener('end', () => {
-    if (!message.complete && socket.remoteAddress === undefined) {
-      message.destroy(new Error('the endpoint reset the connection'));
-    }
-  });
-}
-
 /** Reads an answer's body; throws when it is incomplete or larger than the limit. */
-export async function readAnswerBody(
-  message: http.IncomingMessage,
-  limitBytes: number,
-): Promise<Buffer> {
+export async function readAnswerBody(body: AnswerBody, limitBytes: number): Promise<Buffer> {
   const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of message) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > limitBytes) throw new Error(`the answer is larger than ${limitBytes} bytes`);
-    chunks.push(chunk as Buffer);
+  for await (const chunk of body) {
+    if (body.bytes > limitBytes) throw new Error(`the answer is larger than ${limitBytes} bytes`);
+    chunks.push(chunk);
   }
-  if (!message.complete) throw new Error('the connection closed prematurely');
   return Buffer.concat(chunks);
 }
--- a/packages/gateway/src/eventReader.ts
+++ b/packages/gateway/src/eventReader.ts
@@ -1,7 +1,5 @@
 import { createParser, type EventSourceParser } from 'eventsource-parser';
-
-/** Length of the longest end of an event: two line breaks of two characters each. */
-const EVENT_END_LENGTH = 4;
+import { EventBoundary } from './eventBoundary';
 
 /** Parses a stream of server-sent events: collects their data and counts those begun. */
 export class EventReader {
@@ -13,10 +11,7 @@
 
   private lastId: string | undefined;
 
-  private hasPartialEvent = false;
-
-  /** End of the text read so far, which shows a blank line that is split over chunks. */
-  private tail = '';
+  private readonly boundary = new EventBoundary();
 
   constructor() {
     this.parser = createParser({
@@ -29,15 +24,13 @@
 
   /** Parses the next chunk of the stream. */
   read(chunk: Buffer): void {
-    const text = this.decoder.decode(chunk, { stream: true });
-    this.parser.feed(text);
-    this.tail = (this.tail + text).slice(-EVENT_END_LENGTH);
-    this.hasPartialEvent = !/\r?\n\r?\n$/.test(this.tail);
+    this.parser.feed(this.decoder.decode(chunk, { stream: true }));
+    this.boundary.read(chunk);
   }
 
   /** Number of events begun so far, including an incomplete last one. */
   get startedCount(): number {
-    return this.data.length + (this.hasPartialEvent ? 1 : 0);
+    return this.data.length + (this.boundary.isInsideEvent ? 1 : 0);
   }
 
   /** Id of the last complete event that has one. */
