Treat a stream that ends inside an event as broken off

Cause: the relay took the end of the connection or of the framing as the end of the stream. A crashed endpoint whose answer has neither a length nor chunks closes its connection in order, and the HTTP parser reports the body as complete.

AnswerBody now checks at its end that the stream is between two events, for every framing; without a length also that it has an event. Streams are relayed without Content-Length, as a caller would count such an answer as complete before the check. A stream that may be resumed goes on at another endpoint, all others are broken off at the caller.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -4,7 +4,8 @@
 /** What marks the end of an answer's body; `close`: only the end of the connection. */
 export type AnswerFraming = 'length' | 'chunked' | 'close';
 
-/** How a body ended, or `unread` until it has; `inside-event`: in order, but within an event. */
+/** How a body ended, or `unread` until it has; `inside-event`: in order, but within an event or, if
+ * only the connection marks the end, before the first event. */
 export type AnswerEnding = 'unread' | 'whole' | 'inside-event' | 'interrupted';
 
 /** Options of `AnswerBody`. */
@@ -35,6 +36,11 @@
     if (isEventStream) this.boundary = new EventBoundary();
   }
 
+  /** Whether the body is a stream of server-sent events. */
+  get isEventStream(): boolean {
+    return this.boundary !== undefined;
+  }
+
   /** Number of bytes read so far. */
   get bytes(): number {
     return this.receivedBytes;
@@ -55,7 +61,18 @@
       yield chunk as Buffer;
     }
     if (!message.complete) throw new Error('the connection closed prematurely');
-    this.reachedEnding = boundary?.isInsideEvent ? 'inside-event' : 'whole';
+    if (this.endsInsideEvent()) {
+      this.reachedEnding = 'inside-event';
+      throw new Error('the stream ended inside an event');
+    }
+    this.reachedEnding = 'whole';
+  }
+
+  /** A stream without events and length can't be told from one that was broken off. */
+  private endsInsideEvent(): boolean {
+    if (!this.boundary) return false;
+    const isEmpty = this.receivedBytes === 0 && this.framing === 'close';
+    return isEmpty || this.boundary.isInsideEvent;
   }
 
   /** Closes the connection without reading the rest of the body. */
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -1,15 +1,17 @@
 import { once } from 'node:events';
 import type http from 'node:http';
 import { CallError } from '@marjorampin/types';
-import type { HeaderCodec } from './headerCodec';
+import type { HeaderCodec, RawHeaders } from './headerCodec';
 import { type EndpointAnswer, readAnswerBody } from './endpointExchange';
-import { headerValue } from './rawHeaders';
+import { endToEndHeaders, headerValue } from './rawHeaders';
 import { WholeEvents } from './wholeEvents';
 
 /** Answers up to this size are buffered before any part is sent. If an answer is interrupted, the call
  * can then be retried at another endpoint. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
+const LENGTH_HEADERS = new Set(['content-length']);
+
 /** Returns whether an answer can be buffered: its length is within the limit or not declared. */
 export function isBufferable({ headers }: EndpointAnswer): boolean {
   const length = headerValue(headers, 'content-length');
@@ -58,8 +60,8 @@
   headerCodec: HeaderCodec,
   { isResumable, onBytes = () => undefined }: RelayOptions,
 ): Promise<void> {
-  const { status, headers, body } = answer;
-  if (!response.headersSent) response.writeHead(status, headerCodec.writeAnswer(headers));
+  const { status, body } = answer;
+  if (!response.headersSent) response.writeHead(status, relayedHeaders(answer, headerCodec));
   else if (status !== 200) throw notContinued(answer);
   const events = isResumable ? new WholeEvents() : undefined;
   const pass = async (bytes: Buffer) => {
@@ -75,7 +77,12 @@
   } catch (error) {
     throw unreadableAnswer(error);
   }
-  if (events) await pass(events.remainder);
+}
+
+/** With the length of a stream, the caller would take it as complete before its end is checked. */
+function relayedHeaders({ headers, body }: EndpointAnswer, headerCodec: HeaderCodec): RawHeaders {
+  const callerHeaders = headerCodec.writeAnswer(headers);
+  return body.isEventStream ? endToEndHeaders(callerHeaders, LENGTH_HEADERS) : callerHeaders;
 }
 
 /** Returns the error for an answer that does not continue the stream of an earlier run. */
--- a/packages/gateway/src/eventBoundary.ts
+++ b/packages/gateway/src/eventBoundary.ts
@@ -1,8 +1,8 @@
 /** Length of the longest end of an event: two line breaks of two characters each. */
 const EVENT_END_LENGTH = 4;
 
-/** End of a line and a blank line. */
-const EVENT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)$/;
+/** End of a line and a blank line. A carriage return after CRLF is half of a line break. */
+const EVENT_END = /(?:\n\r?\n|\r\r\n?)$/;
 
 /** Tracks whether a stream of server-sent events is between two events or inside one. */
 export class EventBoundary {
--- a/packages/gateway/src/wholeEvents.ts
+++ b/packages/gateway/src/wholeEvents.ts
@@ -13,11 +13,6 @@
     this.rest = bytes.subarray(end);
     return bytes.subarray(0, end);
   }
-
-  /** Returns the bytes after the last complete event. */
-  get remainder(): Buffer {
-    return this.rest;
-  }
 }
 
 /** Returns the position after the last blank line; 0 if there is none. */
