Bound the bytes that an endpoint may send with an answer

An endpoint in trouble may send bytes without end. Answers outside streams were bounded, and so were heads, chunk extensions and trailers (HTTP parser). Not bounded until the deadline: interim answers (1xx), events and a single event of a stream, which the entry also stores for the turn, and bytes on an idle connection, which kept it open for good.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -8,6 +8,9 @@
  * only the connection marks the end, before the first event. */
 export type AnswerEnding = 'unread' | 'whole' | 'inside-event' | 'interrupted';
 
+/** Limit of a stream of events; a turn of the largest size is smaller by far. */
+const MAXIMUM_STREAM_BYTES = 8 * 1024 * 1024;
+
 /** Options of `AnswerBody`. */
 export interface AnswerBodyOptions {
   /** The answer, of which only the headers have been read. */
@@ -57,7 +60,7 @@
     this.reachedEnding = 'interrupted';
     for await (const chunk of message) {
       this.receivedBytes += (chunk as Buffer).length;
-      boundary?.read(chunk as Buffer);
+      if (boundary) this.readEvents(boundary, chunk as Buffer);
       yield chunk as Buffer;
     }
     if (!message.complete) throw new Error('the connection closed prematurely');
@@ -68,6 +71,13 @@
     this.reachedEnding = 'whole';
   }
 
+  private readEvents(boundary: EventBoundary, chunk: Buffer): void {
+    if (this.receivedBytes > MAXIMUM_STREAM_BYTES) {
+      throw new Error(`the stream is larger than ${MAXIMUM_STREAM_BYTES} bytes`);
+    }
+    boundary.read(chunk);
+  }
+
   /** A stream without events and length can't be told from one that was broken off. */
   private endsInsideEvent(): boolean {
     if (!this.boundary) return false;
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -1,12 +1,16 @@
 import http from 'node:http';
 import type { Endpoint } from '@marjorampin/types';
 import { CallError, parsePeerAddress } from '@marjorampin/types';
+import { KeepAliveAgent } from './keepAliveAgent';
 import { AnswerBody } from './answerBody';
 import type { AnswerHeaders, HeaderCodec, RawHeaders } from './headerCodec';
 
 /** Time within which an endpoint must accept a connection; otherwise the call isn't sent. */
 const CONNECT_TIMEOUT_MS = 400;
 
+/** Limit of interim answers (status 1xx) before an answer. */
+const MAXIMUM_INTERIM_ANSWERS = 16;
+
 /** One call to one endpoint. */
 export interface EndpointCall {
   endpoint: Endpoint;
@@ -26,8 +30,7 @@
 const IDLE_LIMIT_MS = 1_000;
 const IDLE_CONNECTIONS_PER_ENDPOINT = 32;
 
-const keepAliveAgent = new http.Agent({
-  keepAlive: true,
+const keepAliveAgent = new KeepAliveAgent({
   maxFreeSockets: IDLE_CONNECTIONS_PER_ENDPOINT,
   timeout: IDLE_LIMIT_MS,
   scheduling: 'lifo',
@@ -105,6 +108,13 @@
       socket.setNoDelay(true);
       socket.once('connect', onConnected);
     });
+    let interimAnswers = 0;
+    request.on('information', () => {
+      interimAnswers += 1;
+      if (interimAnswers > MAXIMUM_INTERIM_ANSWERS) {
+        request.destroy(new Error(`more than ${MAXIMUM_INTERIM_ANSWERS} interim answers`));
+      }
+    });
     request.on('response', (message) => {
       const status = message.statusCode ?? 0;
       const parsedHeaders = headerCodec.readAnswer(status, message.rawHeaders);
