Reset the connection of an HTTP/1.0 caller when its answer is broken off

An answer to an HTTP/1.0 caller has neither chunks nor, for a stream, a length: the end of the connection marks its end. The entry closed it in order after a broken answer, so that the caller took it as complete. The case in brokenStream.test.ts failed before this change.

--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -42,6 +42,13 @@
   response.end(body);
 }
 
+/** Breaks off an answer so that its caller can't take it as complete. */
+export function abortAnswer(message: http.IncomingMessage, response: http.ServerResponse): void {
+  // Without chunks, the end of the connection marks the end of a stream, so only a reset differs.
+  if (message.httpVersion === '1.0') message.socket.resetAndDestroy();
+  response.destroy();
+}
+
 /** How `relayStream` passes a stream on. */
 export interface RelayOptions {
   /** Passes on only complete events, so that another run can continue an interrupted stream. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
   type PeerAddress,
   toCallError,
 } from '@marjorampin/types';
+import { abortAnswer } from './answerRelay';
 import { CallForwarder } from './callForwarder';
 import { type CallerRequest, readCallerBody } from './callerRequest';
 import { CallerServer } from './callerServer';
@@ -271,7 +272,7 @@
     requestId: string | undefined,
   ): void {
     if (response.headersSent || error.kind === 'cancelled') {
-      response.destroy();
+      abortAnswer(message, response);
       return;
     }
     const body = Buffer.from(`${error.message}\n`);
