--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,5 +9,6 @@
 export * from './keyValueStoreStandin';
 export * from './prefixCache';
 export * from './propertyParameters';
+export * from './rawStandin';
 export * from './scheduledClock';
 export * from './serviceStandin';
--- a/platform/src/__tests__/rawEndpoint.ts
+++ b/packages/standins/src/rawStandin.ts
@@ -9,32 +9,11 @@
 /** Writes the response to a request as raw bytes, which may be invalid. */
 export type RawResponder = (socket: Socket, request: ReceivedRequest) => void;
 
-/** Returns the id in a request's headers, or an empty string. */
-export function requestIdOf({ head }: ReceivedRequest): string {
-  return /marjorampin-request-id: (\S+)/i.exec(head)?.[1] ?? '';
-}
-
-/** Returns a valid response to a request. `headers` replaces headers by name; an empty value omits
- * the header. */
-export function validResponse(
-  request: ReceivedRequest,
-  body: string,
-  headers: Record<string, string> = {},
-): string {
-  const all: Record<string, string> = {
-    'Marjorampin-Request-Id': requestIdOf(request),
-    'Marjorampin-Response-Seal': 'seal',
-    'Content-Length': String(body.length),
-    ...headers,
-  };
-  const lines = Object.entries(all)
-    .filter(([, value]) => value !== '')
-    .map(([name, value]) => `${name}: ${value}\r\n`);
-  return `HTTP/1.1 200 OK\r\n${lines.join('')}\r\n${body}`;
-}
+/** Size of the writes of `writeWithoutEnd`. */
+const REPEATED_BYTES = 64 * 1024;
 
-/** An endpoint that responds with arbitrary bytes, including invalid responses. */
-export class RawEndpoint {
+/** Stand-in for an HTTP server that responds with arbitrary bytes, including invalid responses. */
+export class RawStandin {
   readonly requests: ReceivedRequest[] = [];
 
   /** Number of closed connections. */
@@ -87,3 +66,14 @@
   const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
   return body.length < length ? undefined : { head, body };
 }
+
+/** Writes `text` again and again until the connection closes. */
+export function writeWithoutEnd(socket: Socket, text: string): void {
+  const bytes = Buffer.from(text.repeat(Math.ceil(REPEATED_BYTES / text.length)));
+  const write = () => {
+    if (socket.destroyed) return;
+    if (socket.write(bytes)) setImmediate(write);
+    else socket.once('drain', write);
+  };
+  write();
+}
