Take no interrupted answer as complete on the product's own interface

Answers, heads preceded by interim answers (1xx) and responses of the store were also read without a limit of bytes.

The package http sends requests and reads answers with limits (16 interim answers, 8 MiB, 32 MiB at the store). The agent takes an answer without length and chunks as failed, with unknown execution, and names the remedy; a generation still may have neither, as it ends with its result. The connection of undici gives no way to notice each reset.

--- a/packages/agent/src/httpModelEndpoint.ts
+++ b/packages/agent/src/httpModelEndpoint.ts
@@ -1,5 +1,7 @@
-import { Agent, request } from 'undici';
+import { answerChunks, answerText, isFramed, sendRequest } from '@marjorampin/http';
 import { CallError } from '@marjorampin/types';
+import { Agent } from 'undici';
+import { MAXIMUM_ANSWER_BYTES } from './answerLimit';
 import {
   type EndpointLoad,
   ModelEndpoint,
@@ -29,7 +31,7 @@
     onText: (text: string) => void,
     signal: AbortSignal,
   ): Promise<ModelOutcome> {
-    const response = await request(`${this.url}/generate`, {
+    const response = await sendRequest(`${this.url}/generate`, {
       method: 'POST',
       dispatcher: this.dispatcher,
       headers: { 'content-type': 'application/json' },
@@ -41,7 +43,7 @@
       throw this.failure(`status ${response.statusCode}`);
     }
     let outcome: ModelOutcome | null | undefined;
-    for await (const event of parseEvents(response.body)) {
+    for await (const event of parseEvents(answerChunks(response, MAXIMUM_ANSWER_BYTES))) {
       if ('result' in event) outcome = event.result;
       else onText(event.text);
     }
@@ -74,15 +76,17 @@
   }
 
   private async fetchText(method: 'GET' | 'POST', path: string, body?: string): Promise<string> {
-    const response = await request(`${this.url}${path}`, {
+    const response = await sendRequest(`${this.url}${path}`, {
       method,
       dispatcher: this.dispatcher,
       headers: { 'content-type': 'application/json' },
       body: body ?? null,
       signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
     });
-    const text = await response.body.text();
+    const text = await answerText(response, MAXIMUM_ANSWER_BYTES);
     if (response.statusCode >= 400) throw this.failure(`status ${response.statusCode} on ${path}`);
+    // An interrupted answer of this kind looks complete.
+    if (!isFramed(response)) throw this.failure(`no length or chunks in its answer on ${path}`);
     return text;
   }
 
--- a/packages/agent/src/httpPlainEndpoint.ts
+++ b/packages/agent/src/httpPlainEndpoint.ts
@@ -1,5 +1,7 @@
-import { Agent, request } from 'undici';
+import { answerText, isFramed, sendRequest } from '@marjorampin/http';
 import { CallError } from '@marjorampin/types';
+import { Agent } from 'undici';
+import { MAXIMUM_ANSWER_BYTES } from './answerLimit';
 import { PlainEndpoint, type PlainOutcome, type PlainRequest } from './plainEndpoint';
 
 /** Error codes of failed connections, after which the request can't have reached the service. */
@@ -23,7 +25,7 @@
 
   override async execute(call: PlainRequest, signal: AbortSignal): Promise<PlainOutcome> {
     try {
-      const response = await request(
+      const response = await sendRequest(
         `${this.url}/operations/${encodeURIComponent(call.operation)}`,
         {
           method: 'POST',
@@ -33,7 +35,9 @@
           signal,
         },
       );
-      return { status: response.statusCode, body: await response.body.text() };
+      const body = await answerText(response, MAXIMUM_ANSWER_BYTES);
+      if (!isFramed(response)) throw unframed();
+      return { status: response.statusCode, body };
     } catch (error) {
       throw this.failure(error);
     }
@@ -46,3 +50,8 @@
     return new CallError({ kind: 'endpoint-failed', message, execution, retryAfterMs: 1_000 });
   }
 }
+
+/** An interrupted answer of this kind looks complete, so none is taken as an outcome. */
+function unframed(): Error {
+  return new Error('its answer has neither a length nor chunks; let it send Content-Length');
+}
--- a/packages/store/src/exchangeJson.ts
+++ b/packages/store/src/exchangeJson.ts
@@ -1,6 +1,10 @@
-import { type Dispatcher, request } from 'undici';
+import { answerText, sendRequest } from '@marjorampin/http';
+import type { Dispatcher } from 'undici';
 import { StoreError } from './keyValueStore';
 
+/** Limit of a response; it may hold several values of 1 MB. */
+const MAXIMUM_RESPONSE_BYTES = 32 * 1024 * 1024;
+
 /** An HTTP request to a store. */
 export interface StoreRequest {
   /** Scheme, host and port, for example `http://127.0.0.1:7300`. */
@@ -22,14 +26,14 @@
 /** Sends a JSON request and parses the response; rejects on a network error, abort or invalid JSON. */
 export async function exchangeJson(options: StoreRequest): Promise<StoreResponse> {
   const { origin, path, method, body, dispatcher, signal } = options;
-  const response = await request(`${origin}${path}`, {
+  const response = await sendRequest(`${origin}${path}`, {
     method,
     dispatcher,
     headers: { 'content-type': 'application/json' },
     body: body === undefined ? null : JSON.stringify(body),
     signal,
   });
-  const text = await response.body.text();
+  const text = await answerText(response, MAXIMUM_RESPONSE_BYTES);
   return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) };
 }
 
