Read a history as empty only if its file is missing

With a failed disk or a missing permission, an entry that shut down copied no histories to others and said nothing, and accepted a copy that contradicted a stored turn. Such a read now fails; the shutdown and the search at other holders go on, and event 404 names the error.

--- a/packages/entry/src/__tests__/historyReplicator.test.ts
+++ b/packages/entry/src/__tests__/historyReplicator.test.ts
@@ -31,17 +31,20 @@
   return chain;
 }
 
-async function createReplicator(): Promise<HistoryReplicator> {
+async function createReplicator(
+  local = new MemoryHistoryStore(),
+  log = new MemoryEventLog(),
+): Promise<HistoryReplicator> {
   const clock = new ManualClock();
   const members = new MemberDirectory({ store: new MemoryKeyValueStore(), clock });
   const handler = undefined as unknown as PeerHandler;
   return new HistoryReplicator({
     self: 'entry-0',
-    local: new MemoryHistoryStore(),
+    local,
     members,
     peers: new PeerPool({ handler, clock }),
     hash: await loadHash(),
-    log: new MemoryEventLog(),
+    log,
   });
 }
 
@@ -135,3 +138,30 @@
     (error) => toCallError(error).kind === 'not-owner',
   );
 });
+
+class UnreadableStore extends MemoryHistoryStore {
+  override async read(): Promise<Segment[]> {
+    throw new Error('the disk failed');
+  }
+
+  override async programs(): Promise<string[]> {
+    throw new Error('the disk failed');
+  }
+}
+
+test('a history that cannot be read is logged and does not stop a shutdown', async () => {
+  const log = new MemoryEventLog();
+  const replicator = await createReplicator(new UnreadableStore(), log);
+  await replicator.evacuate(() => ({ partition: 7, epoch: 1 }));
+  assert.deepEqual(
+    log.events.map(({ event }) => event),
+    ['historyReadFailed'],
+  );
+});
+
+test('a copy is refused when the turn that it may contradict cannot be read', async () => {
+  const replicator = await createReplicator(new UnreadableStore());
+  const [segment] = createChain(1, 'main');
+  const copy = replicator.storeLocally({ partition: 7, epoch: 1 }, segment as Segment, true);
+  await assert.rejects(copy, /the disk failed/);
+});
--- a/packages/entry/src/historyReplicator.ts
+++ b/packages/entry/src/historyReplicator.ts
@@ -128,7 +128,9 @@
 
   /** Copies every unfinished program's history to other entries, for a graceful shutdown. */
   async evacuate(fenceTokenOf: (program: string) => FenceToken): Promise<void> {
-    const programs = await this.options.local.programs();
+    const programs = await this.options.local
+      .programs()
+      .catch((error) => this.recordReadFailure(error, []));
     const workers = Array.from({ length: EVACUATION_CONCURRENCY }, async () => {
       for (let program = programs.pop(); program; program = programs.pop()) {
         await this.evacuateProgram(program, fenceTokenOf(program));
@@ -138,7 +140,9 @@
   }
 
   private async evacuateProgram(program: string, fenceToken: FenceToken): Promise<void> {
-    const segments = await this.options.local.read(program);
+    const segments = await this.options.local
+      .read(program)
+      .catch((error) => this.recordReadFailure(error, []));
     // An ended program takes no further turns, so its second replica is enough.
     if (segments.at(-1)?.kind === 'end') return;
     const others = this.candidates(fenceToken.partition, []).filter(
@@ -241,17 +245,23 @@
     program: string,
   ): Promise<Segment[]> {
     const { self, peers } = this.options;
-    if (holder.id === self) return this.readLocally(fenceToken, program);
     try {
+      if (holder.id === self) return await this.readLocally(fenceToken, program);
       const value = { fence: fenceToken, program, fromTurn: 1 };
       const options = { progressTimeoutMs: HOLDER_TIMEOUT_MS };
       const reply = await peers.get(holder.address).call({ case: 'readSegments', value }, options);
       return reply.body.case === 'segments' ? reply.body.value.segments.map(segmentOf) : [];
     } catch (error) {
       if (toCallError(error).kind === 'stale-epoch') throw error;
-      return [];
+      return holder.id === self ? this.recordReadFailure(error, []) : [];
     }
   }
+
+  /** Logs that a history stored here can't be read; another holder may have it. */
+  private recordReadFailure<Value>(error: unknown, fallback: Value): Value {
+    this.options.log.write('historyReadFailed', { reason: String(error) });
+    return fallback;
+  }
 }
 
 function addsDomain(holders: Member[], candidate: Member, candidates: Member[]): boolean {
--- a/packages/history/src/__tests__/history.test.ts
+++ b/packages/history/src/__tests__/history.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { appendFileSync, mkdtempSync, rmSync } from 'node:fs';
+import { appendFileSync, mkdirSync, mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'node:test';
@@ -107,3 +107,27 @@
   assert.deepEqual(await after.read('p'), [first, second, third]);
   assert.deepEqual(await after.programs(), ['p']);
 });
+
+/** What stands at the path of a store's folder or file, and whether it is read as empty. */
+const UNREADABLE = [
+  { name: 'a missing file', path: undefined, isEmpty: true },
+  { name: 'a folder in place of a history', path: 'history/p.ndjson/x', isEmpty: false },
+];
+
+UNREADABLE.forEach(({ name, path, isEmpty }) => {
+  test(`${name} is ${isEmpty ? 'an empty history' : 'not an empty history'}`, async (context) => {
+    const folder = mkdtempSync(join(tmpdir(), 'marjorampin-history-'));
+    context.after(() => rmSync(folder, { recursive: true }));
+    if (path) mkdirSync(join(folder, path), { recursive: true });
+    const read = new DiskHistoryStore({ folder }).read('p');
+    if (isEmpty) assert.deepEqual(await read, []);
+    else await assert.rejects(read, { code: 'EISDIR' });
+  });
+});
+
+test('a file in place of the folder of histories is not an empty store', async (context) => {
+  const folder = mkdtempSync(join(tmpdir(), 'marjorampin-history-'));
+  context.after(() => rmSync(folder, { recursive: true }));
+  appendFileSync(join(folder, 'history'), 'x');
+  await assert.rejects(new DiskHistoryStore({ folder }).programs(), { code: 'ENOTDIR' });
+});
--- a/packages/history/src/diskHistoryStore.ts
+++ b/packages/history/src/diskHistoryStore.ts
@@ -28,7 +28,7 @@
   }
 
   override async read(program: string): Promise<Segment[]> {
-    const text = await readFile(this.pathOf(program), 'utf8').catch(() => '');
+    const text = await readFile(this.pathOf(program), 'utf8').catch(emptyIfAbsent(''));
     const segments: Segment[] = [];
     text.split('\n').forEach((line) => {
       const segment = parseLine(line);
@@ -38,7 +38,7 @@
   }
 
   override async programs(): Promise<string[]> {
-    const names = await readdir(this.folder).catch(() => [] as string[]);
+    const names = await readdir(this.folder).catch(emptyIfAbsent<string[]>([]));
     return names.map((name) => name.slice(0, -FILE_SUFFIX.length));
   }
 
@@ -54,6 +54,14 @@
   }
 }
 
+/** Returns a handler of read errors that returns `empty` for a missing file and rethrows all others. */
+function emptyIfAbsent<Value>(empty: Value): (error: NodeJS.ErrnoException) => Value {
+  return (error) => {
+    if (error.code === 'ENOENT') return empty;
+    throw error;
+  };
+}
+
 /** Returns undefined for a line that a crash truncated; its turn was never acknowledged. */
 function parseLine(line: string): Segment | undefined {
   try {
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -107,6 +107,12 @@
     message: 'a turn is stored on a single entry because no second entry is reachable',
     remedy: 'Start a second entry in another failure domain.',
   },
+  historyReadFailed: {
+    number: 404,
+    level: 'error',
+    message: 'a history that may be stored here could not be read',
+    remedy: 'Check the disk and the permissions of the data folder; `reason` describes the error.',
+  },
   endpointLeaving: {
     number: 500,
     level: 'info',
