--- a/packages/agent/src/httpModelEndpoint.ts
+++ b/packages/agent/src/httpModelEndpoint.ts
@@ -1,7 +1,6 @@
 import { answerChunks, answerText, isFramed, sendRequest } from '@marjorampin/http';
 import { CallError } from '@marjorampin/types';
-import { Agent } from 'undici';
-import { MAXIMUM_ANSWER_BYTES } from './answerLimit';
+import { createDispatcher, MAXIMUM_ANSWER_BYTES } from './endpointConnections';
 import {
   type EndpointLoad,
   ModelEndpoint,
@@ -19,7 +18,7 @@
 export class HttpModelEndpoint extends ModelEndpoint {
   private readonly url: string;
 
-  private readonly dispatcher = new Agent({ connections: 256, bodyTimeout: 0, headersTimeout: 0 });
+  private readonly dispatcher = createDispatcher();
 
   constructor({ url }: { url: string }) {
     super();
--- a/packages/agent/src/httpPlainEndpoint.ts
+++ b/packages/agent/src/httpPlainEndpoint.ts
@@ -1,7 +1,6 @@
 import { answerText, isFramed, sendRequest } from '@marjorampin/http';
 import { CallError } from '@marjorampin/types';
-import { Agent } from 'undici';
-import { MAXIMUM_ANSWER_BYTES } from './answerLimit';
+import { createDispatcher, MAXIMUM_ANSWER_BYTES } from './endpointConnections';
 import { PlainEndpoint, type PlainOutcome, type PlainRequest } from './plainEndpoint';
 
 /** Error codes of failed connections, after which the request can't have reached the service. */
@@ -16,7 +15,7 @@
 export class HttpPlainEndpoint extends PlainEndpoint {
   private readonly url: string;
 
-  private readonly dispatcher = new Agent({ connections: 256, bodyTimeout: 0, headersTimeout: 0 });
+  private readonly dispatcher = createDispatcher();
 
   constructor({ url }: { url: string }) {
     super();
