Stop a generation that outlasts its call's deadline four times

Its caller was told at the deadline; the generation ran on for good, and further calls of the program waited for it. The agent now stops it after four deadlines, so that a repeated call still gets the answer of one that is only late. agentHandler.test.ts: the case failed before.

--- a/packages/agent/src/__tests__/agentHandler.test.ts
+++ b/packages/agent/src/__tests__/agentHandler.test.ts
@@ -5,13 +5,26 @@
 import { type RequestBody, RequestSchema } from '@marjorampin/protocol';
 import { ManualClock, toCallError } from '@marjorampin/types';
 import { AgentHandler, IDLE_CONTEXT_TIMEOUT_MS } from '../agentHandler';
-import { type EndpointLoad, ModelEndpoint, type ModelOutcome } from '../modelEndpoint';
+import {
+  type EndpointLoad,
+  ModelEndpoint,
+  type ModelOutcome,
+  type ModelRequest,
+} from '../modelEndpoint';
+
 import { PlainEndpoint, type PlainOutcome } from '../plainEndpoint';
 
+const TRICKLE_INTERVAL_MS = 100;
+const DEADLINE_MS = 1_000;
+
 class FakeEngine extends ModelEndpoint {
   readonly released: string[] = [];
 
-  override async generate(): Promise<ModelOutcome> {
+  override async generate(
+    _request: ModelRequest,
+    _onText: (text: string) => void,
+    _signal: AbortSignal,
+  ): Promise<ModelOutcome> {
     return { text: 'x', inputTokens: 1, cachedTokens: 0, rebuiltTokens: 0, outputTokens: 1 };
   }
 
@@ -175,3 +188,39 @@
   await handler.releaseIdleContexts();
   assert.deepEqual(engine.released, ['idle']);
 });
+
+/** Sends a text at each interval until its call is aborted. */
+class TricklingEngine extends FakeEngine {
+  private readonly clock: ManualClock;
+
+  constructor({ clock }: { clock: ManualClock }) {
+    super();
+    this.clock = clock;
+  }
+
+  override async generate(
+    _request: ModelRequest,
+    onText: (text: string) => void,
+    signal: AbortSignal,
+  ): Promise<ModelOutcome> {
+    while (!signal.aborted) {
+      await this.clock.sleep(TRICKLE_INTERVAL_MS);
+      onText('x');
+    }
+    throw new Error('aborted');
+  }
+}
+
+test('a generation that sends a text now and then is stopped after its deadline', async () => {
+  const clock = new ManualClock();
+  const handler = createHandler(new TricklingEngine({ clock }), clock);
+  const value = { fence: fence(1), program: 'p', maximumTokens: 1, deadlineMs: DEADLINE_MS };
+  const ended = send(handler, { case: 'modelCall', value }).catch(toCallError);
+  await clock.advance(DEADLINE_MS);
+  assert.equal(handler.running, 1);
+  await clock.advance(4 * DEADLINE_MS);
+  assert.equal(handler.running, 0);
+  const error = await ended;
+  assert.ok('kind' in error);
+  assert.deepEqual([error.kind, error.execution], ['deadline-exceeded', 'unknown']);
+});
--- a/packages/agent/src/agentHandler.ts
+++ b/packages/agent/src/agentHandler.ts
@@ -8,7 +8,7 @@
   toCallError,
 } from '@marjorampin/types';
 import { CallRegistry } from './callRegistry';
-import type { ModelEndpoint } from './modelEndpoint';
+import type { ModelEndpoint, ModelOutcome, ModelRequest } from './modelEndpoint';
 import type { PlainEndpoint } from './plainEndpoint';
 
 type ReplyInit = Awaited<ReturnType<PeerHandler['handle']>>;
@@ -17,6 +17,12 @@
 /** Time without a model call after which the cached context of a program is released. */
 export const IDLE_CONTEXT_TIMEOUT_MS = 600_000;
 
+/**
+ * A generation may outlast its caller's deadline, as a repeated call gets its answer. It is stopped
+ * after this many times the deadline, however often its engine sends text.
+ */
+const MAXIMUM_DEADLINES = 4;
+
 /** Options of `AgentHandler`. */
 export interface AgentHandlerOptions {
   /** Id of the endpoint. */
@@ -112,11 +118,30 @@
     this.lastCalledAtMs.set(program, this.options.clock.now());
     const generation = { request: id, program, context, resumeText, maximumTokens, priority };
     const value = await this.runAtEndpoint(() =>
-      this.modelAdapter().generate(generation, (text) => call.sendItem(text), call.signal),
+      this.generateInTime(generation, request.deadlineMs, call),
     );
     return { body: { case: 'modelResult', value } };
   }
 
+  private async generateInTime(
+    generation: ModelRequest,
+    deadlineMs: number,
+    { signal, sendItem: onText }: IncomingCall,
+  ): Promise<ModelOutcome> {
+    const adapter = this.modelAdapter();
+    if (deadlineMs === 0) return adapter.generate(generation, onText, signal);
+    const limitMs = MAXIMUM_DEADLINES * deadlineMs;
+    const limit = new AbortController();
+    const cancelTimer = this.options.clock.after(limitMs, () => limit.abort());
+    try {
+      return await adapter.generate(generation, onText, AbortSignal.any([signal, limit.signal]));
+    } catch (error) {
+      throw limit.signal.aborted ? generationTooLong(this.options.endpoint, limitMs) : error;
+    } finally {
+      cancelTimer();
+    }
+  }
+
   private async callService(request: RequestOf<'serviceCall'>): Promise<ReplyInit> {
     const { fence, key, attempt, operation, body, incarnation, idempotent } = request;
     this.checkFence(fence);
@@ -211,6 +236,11 @@
   }
 }
 
+function generationTooLong(endpoint: string, limitMs: number): CallError {
+  const message = `the generation at ${endpoint} did not end within ${limitMs} ms; check the engine`;
+  return new CallError({ kind: 'deadline-exceeded', message, execution: 'unknown' });
+}
+
 /** Returns the key under which an attempt is registered; `settleCalls` requests carry it too. */
 function attemptKey(key: string, attempt: number): string {
   return `${key}#${attempt}`;
