Pass on answers over 256 KiB whose length is not declared

The first 256 KiB are buffered, so that a call can still be repeated if the answer breaks off there; after that it is passed on as it arrives, up to 8 MiB without a declared length. Failures on stream routes are relayed the same way, by one function in place of three.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -8,8 +8,9 @@
  * only the connection marks the end, before the first event. */
 export type AnswerEnding = 'unread' | 'whole' | 'inside-event' | 'interrupted';
 
-/** Limit of a stream of events; a turn of the largest size is smaller by far. */
-const MAXIMUM_STREAM_BYTES = 8 * 1024 * 1024;
+/** Limit of a stream of events and of a body without a declared length; a turn of the largest size is
+ * smaller by far. */
+const MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
 /** Options of `AnswerBody`. */
 export interface AnswerBodyOptions {
@@ -39,11 +40,6 @@
     if (isEventStream) this.boundary = new EventBoundary();
   }
 
-  /** Whether the body is a stream of server-sent events. */
-  get isEventStream(): boolean {
-    return this.boundary !== undefined;
-  }
-
   /** Number of bytes read so far. */
   get bytes(): number {
     return this.receivedBytes;
@@ -60,7 +56,8 @@
     this.reachedEnding = 'interrupted';
     for await (const chunk of message) {
       this.receivedBytes += (chunk as Buffer).length;
-      if (boundary) this.readEvents(boundary, chunk as Buffer);
+      this.checkSize();
+      boundary?.read(chunk as Buffer);
       yield chunk as Buffer;
     }
     if (!message.complete) throw new Error('the connection closed prematurely');
@@ -71,11 +68,11 @@
     this.reachedEnding = 'whole';
   }
 
-  private readEvents(boundary: EventBoundary, chunk: Buffer): void {
-    if (this.receivedBytes > MAXIMUM_STREAM_BYTES) {
-      throw new Error(`the stream is larger than ${MAXIMUM_STREAM_BYTES} bytes`);
+  private checkSize(): void {
+    const isLimited = this.boundary !== undefined || this.framing !== 'length';
+    if (isLimited && this.receivedBytes > MAXIMUM_BODY_BYTES) {
+      throw new Error(`the answer is larger than ${MAXIMUM_BODY_BYTES} bytes`);
     }
-    boundary.read(chunk);
   }
 
   /** A stream without events and length can't be told from one that was broken off. */
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import { CallError } from '@marjorampin/types';
 import type { HeaderCodec, RawHeaders } from './headerCodec';
-import { type EndpointAnswer, readAnswerBody } from './endpointExchange';
+import type { EndpointAnswer } from './endpointExchange';
 import { endToEndHeaders, headerValue } from './rawHeaders';
 import { WholeEvents } from './wholeEvents';
 
@@ -12,23 +12,34 @@
 
 const LENGTH_HEADERS = new Set(['content-length']);
 
-/** Returns whether an answer can be buffered: its length is within the limit or not declared. */
-export function isBufferable({ headers }: EndpointAnswer): boolean {
-  const length = headerValue(headers, 'content-length');
-  return length === undefined || Number(length) <= MAXIMUM_BUFFERED_BYTES;
-}
-
-/** Reads an answer's body; throws `endpoint-failed` when it is incomplete or too large. */
-export async function bufferAnswer({ body }: EndpointAnswer): Promise<Buffer> {
+/**
+ * Sends an answer once it is whole, or as it arrives once it exceeds the buffer. Throws
+ * `endpoint-failed` when the answer is interrupted.
+ */
+export async function relayAnswer(
+  response: http.ServerResponse,
+  answer: EndpointAnswer,
+  headerCodec: HeaderCodec,
+): Promise<void> {
+  const { status, headers, body } = answer;
+  let buffered: Buffer[] = [];
   try {
-    return await readAnswerBody(body, MAXIMUM_BUFFERED_BYTES);
+    for await (const chunk of body) {
+      buffered.push(chunk);
+      if (body.bytes > MAXIMUM_BUFFERED_BYTES) {
+        if (!response.headersSent) response.writeHead(status, headerCodec.writeAnswer(headers));
+        await writeToCaller(response, Buffer.concat(buffered));
+        buffered = [];
+      }
+    }
   } catch (error) {
     throw unreadableAnswer(error);
   }
+  if (response.headersSent) response.end();
+  else sendBufferedAnswer(response, answer, Buffer.concat(buffered), headerCodec);
 }
 
-/** Sends a buffered answer to the caller. */
-export function sendBufferedAnswer(
+function sendBufferedAnswer(
   response: http.ServerResponse,
   { status, headers }: EndpointAnswer,
   body: Buffer,
@@ -42,6 +53,12 @@
   response.end(body);
 }
 
+/** Writes bytes and waits until the caller accepts more, or has disconnected. */
+async function writeToCaller(response: http.ServerResponse, bytes: Buffer): Promise<void> {
+  if (response.write(bytes) || response.destroyed) return;
+  await Promise.race([once(response, 'drain'), once(response, 'close')]);
+}
+
 /** Breaks off an answer so that its caller can't take it as complete. */
 export function abortAnswer(message: http.IncomingMessage, response: http.ServerResponse): void {
   // Without chunks, the end of the connection marks the end of a stream, so only a reset differs.
@@ -68,14 +85,13 @@
   { isResumable, onBytes = () => undefined }: RelayOptions,
 ): Promise<void> {
   const { status, body } = answer;
-  if (!response.headersSent) response.writeHead(status, relayedHeaders(answer, headerCodec));
+  if (!response.headersSent) response.writeHead(status, streamHeaders(answer, headerCodec));
   else if (status !== 200) throw notContinued(answer);
   const events = isResumable ? new WholeEvents() : undefined;
   const pass = async (bytes: Buffer) => {
     if (bytes.length === 0) return;
     onBytes(bytes);
-    if (response.write(bytes) || response.destroyed) return;
-    await Promise.race([once(response, 'drain'), once(response, 'close')]);
+    await writeToCaller(response, bytes);
   };
   try {
     for await (const chunk of body) {
@@ -87,9 +103,8 @@
 }
 
 /** With the length of a stream, the caller would take it as complete before its end is checked. */
-function relayedHeaders({ headers, body }: EndpointAnswer, headerCodec: HeaderCodec): RawHeaders {
-  const callerHeaders = headerCodec.writeAnswer(headers);
-  return body.isEventStream ? endToEndHeaders(callerHeaders, LENGTH_HEADERS) : callerHeaders;
+function streamHeaders({ headers }: EndpointAnswer, headerCodec: HeaderCodec): RawHeaders {
+  return endToEndHeaders(headerCodec.writeAnswer(headers), LENGTH_HEADERS);
 }
 
 /** Returns the error for an answer that does not continue the stream of an earlier run. */
--- a/packages/gateway/src/callForwarder.ts
+++ b/packages/gateway/src/callForwarder.ts
@@ -1,5 +1,5 @@
 import { pickService } from '@marjorampin/routing';
-import { isBufferable, bufferAnswer, relayStream, sendBufferedAnswer } from './answerRelay';
+import { relayAnswer, relayStream } from './answerRelay';
 import type { CallerRequest } from './callerRequest';
 import { EventReader } from './eventReader';
 import type { HeaderCodec } from './headerCodec';
@@ -28,9 +28,9 @@
     const onBytes = (bytes: Buffer) => events.read(bytes);
     const relayOptions = isResumable ? { isResumable, onBytes } : { isResumable };
     await this.attempts.run(request, outgoing, async (answer) => {
-      if (route.kind !== 'stream' && isBufferable(answer)) {
-        const answerBody = await bufferAnswer(answer);
-        sendBufferedAnswer(response, answer, answerBody, this.headerCodec);
+      const isFailure = answer.status !== 200 && !response.headersSent;
+      if (route.kind !== 'stream' || isFailure) {
+        await relayAnswer(response, answer, this.headerCodec);
         return;
       }
       await relayStream(response, answer, this.headerCodec, relayOptions);
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -139,13 +139,3 @@
     request.end(body);
   });
 }
-
-/** Reads an answer's body; throws when it is incomplete or larger than the limit. */
-export async function readAnswerBody(body: AnswerBody, limitBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of body) {
-    if (body.bytes > limitBytes) throw new Error(`the answer is larger than ${limitBytes} bytes`);
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -3,7 +3,7 @@
 import { pickService, type RoutedService } from '@marjorampin/routing';
 import type { TurnReservation, TurnStore } from '@marjorampin/turns';
 import { CallError, type Endpoint, toCallError } from '@marjorampin/types';
-import { bufferAnswer, relayStream, sendBufferedAnswer } from './answerRelay';
+import { relayAnswer, relayStream } from './answerRelay';
 import type { CallerRequest } from './callerRequest';
 import type { HeaderCodec, ProgramHeaders } from './headerCodec';
 import type { EndpointAttempts } from './endpointAttempts';
@@ -96,9 +96,8 @@
     const { headerCodec, turns } = this.options;
     const { response } = turn.request;
     if (answer.status !== 200 && !response.headersSent) {
-      const answerBody = await bufferAnswer(answer);
+      await relayAnswer(response, answer, headerCodec);
       turns.settle(turn.reservation, 0);
-      sendBufferedAnswer(response, answer, answerBody, headerCodec);
       return;
     }
     await relayStream(response, answer, headerCodec, {
