--- a/packages/entry/src/ledgerClient.ts
+++ b/packages/entry/src/ledgerClient.ts
@@ -146,7 +146,10 @@
 }
 
 function recordsOf(reply: Reply): { conflict: boolean; records: LedgerRecord[] } {
-  if (reply.body.case !== 'records') return { conflict: false, records: [] };
+  if (reply.body.case !== 'records') {
+    const message = `the writer of a ledger shard replied with an unexpected "${reply.body.case}" message; run the same version of marjorampin on all hosts`;
+    throw new CallError({ kind: 'internal', message, execution: 'unknown' });
+  }
   const { conflict, records } = reply.body.value;
   return { conflict, records: records.map(recordOf) };
 }
