--- a/packages/entry/src/callRouter.ts
+++ b/packages/entry/src/callRouter.ts
@@ -4,6 +4,7 @@
 import { CallError, type Clock, toCallError } from '@marjorampin/types';
 import type { Call } from './calls';
 import type { ProgramOwner } from './programOwner';
+import { replaceNotRun } from './replaceNotRun';
 
 /** Rerouted calls are retried for this long, then fail with the last error. */
 const OWNER_RETRY_TIMEOUT_MS = 10_000;
@@ -97,12 +98,6 @@
   }
 }
 
-/** Reports `unknown` in place of `not-run`, since an earlier attempt may have run the call. */
-function replaceNotRun({ kind, message, retryAfterMs, execution }: CallError): CallError {
-  const reportedExecution = execution === 'not-run' ? 'unknown' : execution;
-  return new CallError({ kind, message, retryAfterMs, execution: reportedExecution });
-}
-
 function noLiveOwner(partition: number): CallError {
   const message = `partition ${partition} has no live owner; retry later`;
   return new CallError({ kind: 'not-owner', message, retryAfterMs: 1_000 });
--- a/packages/entry/src/serviceTurn.ts
+++ b/packages/entry/src/serviceTurn.ts
@@ -13,6 +13,7 @@
 import type { EndpointClient } from './endpointDispatcher';
 import type { Ledger } from './ledgerClient';
 import type { Program } from './program';
+import { replaceNotRun } from './replaceNotRun';
 
 /**
  * Maximum number of rounds of a call. A round of an at-most-once call records an intent, sends the
@@ -107,12 +108,23 @@
   /** Replaces "not-run" with "unknown" if the ledger is unread and the call may have run before. */
   private replaceUnprovenNotRun(error: CallError): CallError {
     const isProven = this.isLedgerRead || !this.options.mayHaveRunBefore;
-    if (isProven || error.execution !== 'not-run') return error;
-    const { kind, message, retryAfterMs } = error;
-    return new CallError({ kind, message, retryAfterMs, execution: 'unknown' });
+    return isProven ? error : replaceNotRun(error);
   }
 
   private async runIdempotent(): Promise<ServiceTurnResult> {
+    let mayHaveRun = false;
+    try {
+      return await this.tryEndpoints(({ execution }) => {
+        mayHaveRun ||= execution !== 'not-run';
+      });
+    } catch (thrown) {
+      const error = toCallError(thrown);
+      throw mayHaveRun ? replaceNotRun(error) : error;
+    }
+  }
+
+  /** Sends an idempotent call to one endpoint after the other until one answers. */
+  private async tryEndpoints(onFailure: (error: CallError) => void): Promise<ServiceTurnResult> {
     const tried = new Set<string>();
     for (let round = 1; ; round += 1) {
       const endpoint = await this.chooseEndpoint(tried);
@@ -120,6 +132,7 @@
         return await this.dispatch(endpoint, round, true);
       } catch (thrown) {
         const error = toCallError(thrown);
+        onFailure(error);
         if (round >= MAXIMUM_ROUNDS || error.kind === 'stale-epoch') throw error;
         tried.add(endpoint.id);
         await this.options.clock.sleep(ROUND_DELAY_STEP_MS * round);
