--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -7,6 +7,7 @@
 import { type EndpointReport, PeerHandler, PeerPool, type Reply } from '@marjorampin/protocol';
 import { MemoryKeyValueStore } from '@marjorampin/store';
 import { SystemClock } from '@marjorampin/types';
+import type { DurableLog } from '../durableLog';
 import { KeeperProcess } from '../keeperProcess';
 import { RetirementOrders } from '../rosterMaintainer';
 import { parseRoster, ROSTER_KEY } from '../rosterRecord';
@@ -97,6 +98,15 @@
     await rm(this.keepers.get(id)?.folder ?? '', { recursive: true });
   }
 
+  /** Makes all further writes to a keeper's disk hang. */
+  stallDisk(id: string): void {
+    const { durableLog } = this.keepers.get(id)?.process as unknown as { durableLog: DurableLog };
+    durableLog.append = () =>
+      new Promise(() => {
+        // Never settles.
+      });
+  }
+
   /** Waits until the stored roster lists exactly these keepers and all of them are complete. */
   async untilRestored(ids: string[]): Promise<void> {
     const expected = JSON.stringify([...ids].sort());
--- a/packages/turns/src/__tests__/keepers.test.ts
+++ b/packages/turns/src/__tests__/keepers.test.ts
@@ -271,6 +271,24 @@
       await eventually('ok', () => other.reserve(reservationOf('t2', 't1')));
     },
   },
+  {
+    name: 'a keeper whose disk stalls neither holds turns up nor counts as storing them',
+    async run(cluster, turns) {
+      cluster.stallDisk('a');
+      const chain = ['t1', 't2', 't3', 't4', 't5', 't6'];
+      for (const [index, turn] of chain.entries()) {
+        assert.equal(await outcomeOf(turns.reserve(reservationOf(turn, chain[index - 1]))), 'ok');
+        assert.equal(await outcomeOf(turns.commit(recordOf(turn, chain.slice(0, index)))), 'ok');
+      }
+      await cluster.stop('a');
+      const other = await cluster.createTurnStore();
+      const found = await other.reserve(reservationOf('t7', 't6'));
+      assert.deepEqual(
+        found.map(({ turn }) => turn),
+        chain,
+      );
+    },
+  },
   {
     name: 'the data of a retiring keeper is copied before it leaves',
     async run(cluster, turns) {
