--- a/packages/agent/src/endpointConnections.ts
+++ b/packages/agent/src/endpointConnections.ts
@@ -1,8 +1,5 @@
 import { Agent } from 'undici';
 
-/** Limit of an endpoint's answer. */
-export const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
-
 /** Limit of concurrent calls to one endpoint. */
 const MAXIMUM_CONNECTIONS = 256;
 
--- a/packages/agent/src/httpModelEndpoint.ts
+++ b/packages/agent/src/httpModelEndpoint.ts
@@ -1,6 +1,12 @@
-import { answerChunks, answerText, isFramed, sendRequest } from '@marjorampin/http';
+import {
+  answerChunks,
+  answerText,
+  isFramed,
+  MAXIMUM_ANSWER_BYTES,
+  sendRequest,
+} from '@marjorampin/http';
 import { CallError } from '@marjorampin/types';
-import { createDispatcher, MAXIMUM_ANSWER_BYTES } from './endpointConnections';
+import { createDispatcher } from './endpointConnections';
 import {
   type EndpointLoad,
   ModelEndpoint,
--- a/packages/agent/src/httpPlainEndpoint.ts
+++ b/packages/agent/src/httpPlainEndpoint.ts
@@ -1,6 +1,6 @@
-import { answerText, isFramed, sendRequest } from '@marjorampin/http';
+import { answerText, isFramed, MAXIMUM_ANSWER_BYTES, sendRequest } from '@marjorampin/http';
 import { CallError } from '@marjorampin/types';
-import { createDispatcher, MAXIMUM_ANSWER_BYTES } from './endpointConnections';
+import { createDispatcher } from './endpointConnections';
 import { PlainEndpoint, type PlainOutcome, type PlainRequest } from './plainEndpoint';
 
 /** Error codes of failed connections, after which the request can't have reached the service. */
--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -1,17 +1,11 @@
 import type http from 'node:http';
+import { type AnswerFraming, framingOf, MAXIMUM_ANSWER_BYTES } from '@marjorampin/http';
 import { EventBoundary } from './eventBoundary';
 
-/** What marks the end of an answer's body; `close`: only the end of the connection. */
-export type AnswerFraming = 'length' | 'chunked' | 'close';
-
 /** How a body ended, or `unread` until it has; `inside-event`: in order, but within an event or, if
  * only the connection marks the end, before the first event. */
 export type AnswerEnding = 'unread' | 'whole' | 'inside-event' | 'interrupted';
 
-/** Limit of a stream of events and of a body without a declared length; a turn of the largest size is
- * smaller by far. */
-const MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
-
 /** Options of `AnswerBody`. */
 export interface AnswerBodyOptions {
   /** The answer, of which only the headers have been read. */
@@ -35,7 +29,7 @@
 
   constructor({ message, isEventStream }: AnswerBodyOptions) {
     this.message = message;
-    this.framing = framingOf(message);
+    this.framing = framingOf(message.headers);
     if (this.framing === 'close') watchForReset(message);
     if (isEventStream) this.boundary = new EventBoundary();
   }
@@ -70,8 +64,8 @@
 
   private checkSize(): void {
     const isLimited = this.boundary !== undefined || this.framing !== 'length';
-    if (isLimited && this.receivedBytes > MAXIMUM_BODY_BYTES) {
-      throw new Error(`the answer is larger than ${MAXIMUM_BODY_BYTES} bytes`);
+    if (isLimited && this.receivedBytes > MAXIMUM_ANSWER_BYTES) {
+      throw new Error(`the answer is larger than ${MAXIMUM_ANSWER_BYTES} bytes`);
     }
   }
 
@@ -88,11 +82,6 @@
   }
 }
 
-function framingOf({ headers }: http.IncomingMessage): AnswerFraming {
-  if (/\bchunked$/i.test(headers['transfer-encoding'] ?? '')) return 'chunked';
-  return headers['content-length'] === undefined ? 'close' : 'length';
-}
-
 /**
  * Fails an answer without a declared length when a reset ends it. libuv reports a reset that arrives
  * together with data as an orderly end; it can be detected only by the socket's missing remote
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { MAXIMUM_INTERIM_ANSWERS } from '@marjorampin/http';
 import type { Endpoint } from '@marjorampin/types';
 import { CallError, parsePeerAddress } from '@marjorampin/types';
 import { KeepAliveAgent } from './keepAliveAgent';
@@ -8,9 +9,6 @@
 /** Time within which an endpoint must accept a connection; otherwise the call isn't sent. */
 const CONNECT_TIMEOUT_MS = 400;
 
-/** Limit of interim answers (status 1xx) before an answer. */
-const MAXIMUM_INTERIM_ANSWERS = 16;
-
 /** One call to one endpoint. */
 export interface EndpointCall {
   endpoint: Endpoint;
--- a/packages/http/src/answerText.ts
+++ b/packages/http/src/answerText.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici';
+import { framingOf } from './answerFraming';
 
 type Answer = Pick<Dispatcher.ResponseData, 'statusCode' | 'headers' | 'body'>;
 
@@ -29,6 +30,5 @@
  * undici reports a reset connection as the end of the body.
  */
 export function isFramed({ statusCode, headers }: Answer): boolean {
-  if (statusCode === NO_CONTENT || headers['content-length'] !== undefined) return true;
-  return /\bchunked$/i.test(String(headers['transfer-encoding'] ?? ''));
+  return statusCode === NO_CONTENT || framingOf(headers) !== 'close';
 }
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,5 @@
 /** HTTP client whose answers are bounded and checked for completeness. */
+export * from './answerFraming';
 export * from './answerText';
+export * from './limits';
 export * from './sendRequest';
--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -1,7 +1,5 @@
 import { type Dispatcher, request } from 'undici';
-
-/** Limit of interim answers (status 1xx) before an answer. */
-const MAXIMUM_INTERIM_ANSWERS = 16;
+import { MAXIMUM_INTERIM_ANSWERS } from './limits';
 
 /** An HTTP request; its `signal` also limits the time of the answer's body. */
 export interface HttpRequest {
