--- a/packages/entry/src/historyReplicator.ts
+++ b/packages/entry/src/historyReplicator.ts
@@ -130,7 +130,7 @@
   async evacuate(fenceTokenOf: (program: string) => FenceToken): Promise<void> {
     const programs = await this.options.local
       .programs()
-      .catch((error) => this.recordReadFailure(error, []));
+      .catch((error) => this.recordReadFailure(error));
     const workers = Array.from({ length: EVACUATION_CONCURRENCY }, async () => {
       for (let program = programs.pop(); program; program = programs.pop()) {
         await this.evacuateProgram(program, fenceTokenOf(program));
@@ -142,7 +142,7 @@
   private async evacuateProgram(program: string, fenceToken: FenceToken): Promise<void> {
     const segments = await this.options.local
       .read(program)
-      .catch((error) => this.recordReadFailure(error, []));
+      .catch((error) => this.recordReadFailure(error, program));
     // An ended program takes no further turns, so its second replica is enough.
     if (segments.at(-1)?.kind === 'end') return;
     const others = this.candidates(fenceToken.partition, []).filter(
@@ -253,14 +253,14 @@
       return reply.body.case === 'segments' ? reply.body.value.segments.map(segmentOf) : [];
     } catch (error) {
       if (toCallError(error).kind === 'stale-epoch') throw error;
-      return holder.id === self ? this.recordReadFailure(error, []) : [];
+      return holder.id === self ? this.recordReadFailure(error, program) : [];
     }
   }
 
-  /** Logs that a history stored here can't be read; another holder may have it. */
-  private recordReadFailure<Value>(error: unknown, fallback: Value): Value {
-    this.options.log.write('historyReadFailed', { reason: String(error) });
-    return fallback;
+  /** Logs that a history, or the list of them, can't be read here; another holder may have it. */
+  private recordReadFailure(error: unknown, program?: string): [] {
+    this.options.log.write('historyReadFailed', { program, reason: String(error) });
+    return [];
   }
 }
 
