Observability of endpoints' rate limits: events 807 to 809 and counters

Logs and metrics could not show that an endpoint states a limit on its requests a second, nor how many requests an entry sends under it. The limit is now read from every answer and logged when it is stated, changes or ends, with the requests that this entry sent meanwhile and how many of them were repeats. marjorampin_rate_limited_sends_total{endpoint} counts them without sampling. Where requests are sent does not change.

--- a/packages/gateway/src/callTrace.ts
+++ b/packages/gateway/src/callTrace.ts
@@ -31,6 +31,11 @@
     this.answerBody = undefined;
   }
 
+  /** Number of attempts so far. */
+  get sendCount(): number {
+    return this.sends;
+  }
+
   /** Records that the headers of an answer have arrived. */
   recordAnswer(body: AnswerBody): void {
     this.answerBody = body;
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -7,6 +7,7 @@
 import { AttemptHistory } from './attemptHistory';
 import type { EndpointChoice } from './endpointChoice';
 import { type EndpointAnswer, exchangeWithEndpoint } from './endpointExchange';
+import type { RateLimits } from './rateLimits';
 
 /** Statuses from which callers conclude that their call did not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -14,6 +15,7 @@
 /** Options of `EndpointAttempts`. */
 export interface EndpointAttemptsOptions {
   choice: EndpointChoice;
+  rateLimits: RateLimits;
   headerCodec: HeaderCodec;
   clock: Clock;
   log: EventLog;
@@ -148,7 +150,7 @@
     endpoint: Endpoint,
     handleAnswer: AnswerHandler<T>,
   ): Promise<T> {
-    const { choice, headerCodec, clock, log, metrics } = this.options;
+    const { choice, rateLimits, headerCodec, clock, log, metrics } = this.options;
     const { message, route, callHeaders, signal, trace } = request;
     const leftMs = remainingMs(request, clock);
     const headers = headerCodec.writeCall(message.rawHeaders, {
@@ -159,7 +161,9 @@
       bodyBytes: body.length > 0 || message.method !== 'GET' ? body.length : undefined,
     });
     const { directory } = choice;
+    const sentAtMs = clock.now();
     directory.callStarted(endpoint.id);
+    rateLimits.recordSend(endpoint, trace.sendCount > 1);
     try {
       const answer = await exchangeWithEndpoint(
         {
@@ -177,6 +181,7 @@
       );
       trace.recordAnswer(answer.body);
       choice.recordAnswer(endpoint, answer.parsedHeaders, answer.status);
+      rateLimits.recordAnswer(endpoint, answer, sentAtMs);
       checkAnswer(answer, endpoint);
       return await handleAnswer(answer, endpoint);
     } catch (error) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
   unknownRoute,
 } from './gatewayErrors';
 import { LoopLag } from './loopLag';
+import { RateLimits } from './rateLimits';
 import { headerBytes, headerValue } from './rawHeaders';
 import { TurnForwarder } from './turnForwarder';
 
@@ -95,6 +96,7 @@
     const { stalenessMs } = options;
     const attempts = new EndpointAttempts({
       choice: this.choice,
+      rateLimits: new RateLimits({ clock, log, metrics }),
       headerCodec,
       clock,
       log,
--- a/packages/gateway/src/headerCodec.ts
+++ b/packages/gateway/src/headerCodec.ts
@@ -1,3 +1,4 @@
+import type { StatedRateLimit } from '@marjorampin/routing';
 import type { CallError, Endpoint } from '@marjorampin/types';
 
 /** Alternating header names and values, in the order of the message. */
@@ -56,6 +57,8 @@
   load: AnswerLoad | undefined;
   /** Whether the endpoint is shutting down and must not get new calls. */
   isLeaving: boolean;
+  /** Limit on the requests that the endpoint gets from all hosts together. */
+  rateLimit: StatedRateLimit;
 }
 
 /** Reads and writes the headers exchanged with callers and endpoints. */
--- /dev/null
+++ b/packages/gateway/src/rateLimits.ts
@@ -0,0 +1,105 @@
+import type { EventLog } from '@marjorampin/logging';
+import type { Metrics } from '@marjorampin/metrics';
+import type { Clock, Endpoint } from '@marjorampin/types';
+import type { EndpointAnswer } from './endpointExchange';
+import { TrackedRateLimit } from './trackedRateLimit';
+
+/** Number of endpoints whose limits are remembered: more than are limited at the same time. */
+const MAXIMUM_ENDPOINTS = 10_000;
+
+/** Status of a refusal that another endpoint may have sent, which has taken over the address. */
+const MISDIRECTED_STATUS = 421;
+
+/** Parts of an answer from which the endpoint's rate limit follows. */
+type StatingAnswer = Pick<EndpointAnswer, 'status' | 'parsedHeaders'>;
+
+/** Options of `RateLimits`. */
+export interface RateLimitsOptions {
+  clock: Clock;
+  log: EventLog;
+  metrics: Metrics;
+}
+
+/** Tracks the rate limits that endpoints state in their answers. */
+export class RateLimits {
+  private readonly options: RateLimitsOptions;
+
+  /** By endpoint id. The registration of an endpoint can disappear and return; its limit is kept. */
+  private readonly tracked = new Map<string, TrackedRateLimit>();
+
+  constructor(options: RateLimitsOptions) {
+    this.options = options;
+    options.metrics.gauge(
+      'rate_limited_endpoints',
+      'endpoints with a rate limit',
+      () => [...this.tracked.values()].filter(({ perSecond }) => perSecond !== undefined).length,
+    );
+  }
+
+  /** Counts a request that is sent to an endpoint. */
+  recordSend(endpoint: Endpoint, isRepeat: boolean): void {
+    const limit = this.find(endpoint);
+    if (limit?.perSecond === undefined) return;
+    limit.recordSend(isRepeat);
+    this.options.metrics.count('rate_limited_sends_total', { endpoint: endpoint.id });
+  }
+
+  /** Records the limit in an answer to a request that was sent at `sentAtMs`. */
+  recordAnswer(endpoint: Endpoint, answer: StatingAnswer, sentAtMs: number): void {
+    const { rateLimit: stated } = answer.parsedHeaders;
+    const known = this.find(endpoint);
+    if (stated === 'none' && !(known && isFromEndpoint(answer))) return;
+    const limit = known ?? this.track(endpoint);
+    if (stated === 'invalid') {
+      this.logInvalid(endpoint, limit);
+      return;
+    }
+    const previous = limit.perSecond;
+    limit.observed.observe(
+      stated === 'none'
+        ? { perSecond: undefined, observedAtMs: sentAtMs }
+        : { perSecond: stated, observedAtMs: this.options.clock.now() },
+    );
+    if (limit.perSecond !== previous) this.logChange(endpoint, limit, previous);
+  }
+
+  private find({ id, incarnation }: Endpoint): TrackedRateLimit | undefined {
+    const limit = this.tracked.get(id);
+    return limit?.incarnation === incarnation ? limit : undefined;
+  }
+
+  private track({ id, incarnation }: Endpoint): TrackedRateLimit {
+    const limit = new TrackedRateLimit({ incarnation, nowMs: this.options.clock.now() });
+    this.tracked.delete(id);
+    this.tracked.set(id, limit);
+    const [oldest] = this.tracked.keys();
+    if (this.tracked.size > MAXIMUM_ENDPOINTS && oldest !== undefined) this.tracked.delete(oldest);
+    return limit;
+  }
+
+  private logInvalid({ id, service }: Endpoint, limit: TrackedRateLimit): void {
+    if (!limit.recordInvalid()) return;
+    this.options.log.write('rateLimitInvalid', { endpoint: id, service });
+  }
+
+  /** Logs a change together with the requests that this process sent under the previous limit. */
+  private logChange(
+    { id, service }: Endpoint,
+    limit: TrackedRateLimit,
+    previousPerSecond: number | undefined,
+  ): void {
+    const { clock, log } = this.options;
+    const usage = limit.takeUsage(clock.now());
+    log.write(limit.perSecond === undefined ? 'rateLimitEnded' : 'rateLimitChanged', {
+      endpoint: id,
+      service,
+      perSecond: limit.perSecond,
+      ...(previousPerSecond !== undefined && { previousPerSecond, ...usage }),
+    });
+  }
+}
+
+/** Returns whether an answer certainly comes from the endpoint that the request was sent to. */
+function isFromEndpoint({ status, parsedHeaders }: StatingAnswer): boolean {
+  return parsedHeaders.isGenuine || (parsedHeaders.isNotRun && status !== MISDIRECTED_STATUS);
+}
--- a/packages/gateway/src/rawHeaders.ts
+++ b/packages/gateway/src/rawHeaders.ts
@@ -23,6 +23,13 @@
   return undefined;
 }
 
+/** Returns all values of a header, in the order of the message; `name` is in lower case. */
+export function headerValues(headers: RawHeaders, name: string): string[] {
+  return headers.filter(
+    (_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name,
+  );
+}
+
 /** Returns the headers without hop-by-hop ones, those listed in `Connection`, and `dropped` ones. */
 export function endToEndHeaders(headers: RawHeaders, dropped: Set<string>): RawHeaders {
   const connectionOptions = new Set(
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -266,6 +266,25 @@
     message: 'an attempt to serve a request at an endpoint failed',
     remedy: 'Check the endpoint if this repeats.',
   },
+  rateLimitChanged: {
+    number: 807,
+    level: 'info',
+    message: 'an endpoint stated a new limit on its requests per second',
+    remedy: 'None needed; check why the endpoint takes fewer requests if this repeats.',
+  },
+  rateLimitEnded: {
+    number: 808,
+    level: 'info',
+    message: 'an endpoint states no limit on its requests per second any more',
+    remedy: 'None needed.',
+  },
+  rateLimitInvalid: {
+    number: 809,
+    level: 'warn',
+    message:
+      'an endpoint stated a limit that is no decimal number; the previous one stays in effect',
+    remedy: 'Correct the limit that the endpoint sends.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,7 @@
 export * from './admission';
 export * from './chooseEndpoint';
 export * from './endpointDirectory';
+export * from './observedRateLimit';
 export * from './refusal';
 export * from './route';
 export * from './routeTable';
