--- a/packages/types/src/clock.ts
+++ b/packages/types/src/clock.ts
@@ -72,6 +72,11 @@
     });
   }
 
+  /** Number of pending sleeps. */
+  get pendingCount(): number {
+    return this.sleepers.length;
+  }
+
   /** Returns the time in milliseconds of the next wake-up, or undefined if no sleep is pending. */
   nextDue(): number | undefined {
     if (this.sleepers.length === 0) return undefined;
