Soak: a wiped disk is deleted before its keeper starts again

Cause: the listener that restarts a process was registered before the one that deletes its folder, so the new process could write there while it was deleted, and could keep a part of the wiped data. The folder is now deleted first. The order of the listeners follows from the code; the run itself was not repeated to failure.

--- a/soak/src/soakHosts.ts
+++ b/soak/src/soakHosts.ts
@@ -72,7 +72,10 @@
   /** Kills a host's process and deletes its data. */
   wipeDisk(host: SoakHost): void {
     const child = this.running.get(host.name);
-    child?.once('exit', () => rmSync(this.dataFolderOf(host), { recursive: true, force: true }));
+    // Before the listener that restarts the process, which would write to the folder meanwhile.
+    child?.prependOnceListener('exit', () => {
+      rmSync(this.dataFolderOf(host), { recursive: true, force: true });
+    });
     child?.kill('SIGKILL');
   }
 
