--- a/packages/gateway/src/callTrace.ts
+++ b/packages/gateway/src/callTrace.ts
@@ -15,6 +15,8 @@
 
   private sends = 0;
 
+  private permitWaitMs: number | undefined;
+
   private chosen: ChosenEndpoint | undefined;
 
   private answerBody: AnswerBody | undefined;
@@ -36,6 +38,11 @@
     return this.sends;
   }
 
+  /** Records that the call waits for the permit of a rate-limited endpoint. */
+  recordWait(waitMs: number): void {
+    this.permitWaitMs = Math.round((this.permitWaitMs ?? 0) + waitMs);
+  }
+
   /** Records that the headers of an answer have arrived. */
   recordAnswer(body: AnswerBody): void {
     this.answerBody = body;
@@ -54,8 +61,10 @@
     return { framing, ending, answerBytes: bytes };
   }
 
-  /** Log fields: the program, the number of choices, the latest choice and its answer. */
+  /** Log fields: the program, the number of choices, the wait for permits, the latest choice and its
+   * answer. */
   get fields() {
-    return { program: this.program, sends: this.sends, ...this.chosen, ...this.answerFields };
+    const { program, sends, permitWaitMs } = this;
+    return { program, sends, permitWaitMs, ...this.chosen, ...this.answerFields };
   }
 }
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -1,4 +1,9 @@
-import { isHopeless, type RefusalRequest, retryDelayMs } from '@marjorampin/routing';
+import {
+  isHopeless,
+  permitPatienceMs,
+  type RefusalRequest,
+  retryDelayMs,
+} from '@marjorampin/routing';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import { CallError, type Clock, type Endpoint, toCallError } from '@marjorampin/types';
@@ -34,6 +39,12 @@
   lastEventId?(): string | undefined;
 }
 
+/** A call with the way in which it is sent. */
+interface SentCall extends OutgoingCall {
+  /** Whether the call may be sent on an idle connection of an earlier call. */
+  mayReuseConnection: boolean;
+}
+
 /** Processes an answer; an `endpoint-failed` error from it is recorded as the endpoint's failure. */
 export type AnswerHandler<T> = (answer: EndpointAnswer, endpoint: Endpoint) => Promise<T>;
 
@@ -57,14 +68,11 @@
     const mayReuseConnection = route.kind !== 'non-idempotent';
     this.refuseIfHopeless(request, outgoing);
     const history = new AttemptHistory(route);
+    const sent = { ...outgoing, mayReuseConnection };
     while (true) {
-      const { triedIds } = history;
-      const endpoint = this.options.choice.choose({ ...outgoing, triedIds, mayReuseConnection });
-      if (!endpoint) throw history.outcomeOf(this.noEndpoint(request, outgoing, triedIds.size));
-      triedIds.add(endpoint.id);
+      const endpoint = await this.chooseEndpoint(request, sent, history);
       this.trace(request, endpoint);
       try {
-        const sent = { ...outgoing, mayReuseConnection };
         return await this.send(request, sent, endpoint, handleAnswer);
       } catch (error) {
         const failure = toCallError(error);
@@ -90,6 +98,36 @@
     );
   }
 
+  /** Returns an endpoint to which the call may be sent now; throws if there is none. */
+  private async chooseEndpoint(
+    request: CallerRequest,
+    outgoing: SentCall,
+    history: AttemptHistory,
+  ): Promise<Endpoint> {
+    const { triedIds } = history;
+    while (true) {
+      const endpoint = this.options.choice.choose({ ...outgoing, triedIds });
+      if (!endpoint) throw history.outcomeOf(this.noEndpoint(request, outgoing, triedIds.size));
+      triedIds.add(endpoint.id);
+      if (await this.awaitPermit(request, endpoint)) return endpoint;
+    }
+  }
+
+  /** Waits until the endpoint's rate limit allows the request; returns false if it should be sent to
+   * another endpoint instead. */
+  private async awaitPermit(request: CallerRequest, endpoint: Endpoint): Promise<boolean> {
+    const { choice, rateLimits, clock } = this.options;
+    const { signal, trace } = request;
+    const patienceMs = permitPatienceMs(this.refusalOf(request));
+    const { outcome, waitMs } = await rateLimits.acquire(endpoint, patienceMs);
+    if (outcome !== 'granted') return false;
+    if (waitMs === 0) return true;
+    trace.recordWait(waitMs);
+    // An abort is reported when the call is sent.
+    await clock.sleep(waitMs, signal).catch(() => undefined);
+    return signal.aborted || choice.isAvailable(endpoint);
+  }
+
   private noEndpoint(
     request: CallerRequest,
     outgoing: OutgoingCall,
@@ -141,12 +179,7 @@
 
   private async send<T>(
     request: CallerRequest,
-    {
-      body,
-      service,
-      lastEventId,
-      mayReuseConnection,
-    }: OutgoingCall & { mayReuseConnection: boolean },
+    { body, service, lastEventId, mayReuseConnection }: SentCall,
     endpoint: Endpoint,
     handleAnswer: AnswerHandler<T>,
   ): Promise<T> {
--- a/packages/gateway/src/endpointChoice.ts
+++ b/packages/gateway/src/endpointChoice.ts
@@ -9,6 +9,7 @@
 import type { Clock, Endpoint } from '@marjorampin/types';
 import type { AnswerHeaders } from './headerCodec';
 import { hasIdleConnection } from './endpointExchange';
+import type { RateLimits } from './rateLimits';
 
 /** Load reports older than this are ignored, because most of the calls that they count have ended. */
 const MAXIMUM_LOAD_AGE_MS = 500;
@@ -37,6 +38,15 @@
   queuedCallMs: 60,
 };
 
+/** Options of `EndpointChoice`. */
+export interface EndpointChoiceOptions {
+  clock: Clock;
+  /** Failure domain of this entry; its endpoints are preferred. */
+  domain: string;
+  rateLimits: RateLimits;
+  random?: () => number;
+}
+
 /** Tracks the load and availability of endpoints and chooses one for each call. */
 export class EndpointChoice {
   readonly directory: EndpointDirectory;
@@ -47,17 +57,12 @@
 
   private readonly random: () => number;
 
-  constructor({
-    clock,
-    domain,
-    random = Math.random,
-  }: {
-    clock: Clock;
-    domain: string;
-    random?: () => number;
-  }) {
+  private readonly rateLimits: RateLimits;
+
+  constructor({ clock, domain, rateLimits, random = Math.random }: EndpointChoiceOptions) {
     this.clock = clock;
     this.domain = domain;
+    this.rateLimits = rateLimits;
     this.random = random;
     this.directory = new EndpointDirectory({ clock });
   }
@@ -68,7 +73,7 @@
     const views = this.directory
       .available(service)
       .filter(({ endpoint }) => !triedIds.has(endpoint.id))
-      .map((view) => this.withoutStaleLoad(view));
+      .map((view) => this.currentView(view));
     // With equal costs, a fixed order would send the calls of all entries to the same endpoint.
     const shuffled = views
       .map((view) => ({ view, order: this.random() }))
@@ -84,9 +89,15 @@
     return chooseEndpoint(shuffled, request, ENGINE_COSTS)?.endpoint;
   }
 
+  /** Returns whether an endpoint may still get new calls. */
+  isAvailable({ id, incarnation }: Endpoint): boolean {
+    const view = this.directory.get(id);
+    return view?.endpoint.incarnation === incarnation && this.directory.isUsable(view);
+  }
+
   /** Returns the shortest expected wait at any endpoint of a service that may get new calls. */
   shortestWaitMs(service: string): number {
-    const views = this.directory.available(service).map((view) => this.withoutStaleLoad(view));
+    const views = this.directory.available(service).map((view) => this.currentView(view));
     return shortestWaitMs(views, ENGINE_COSTS);
   }
 
@@ -115,10 +126,14 @@
     this.directory.exclude(endpoint.id, FAILURE_EXCLUSION_MS);
   }
 
-  private withoutStaleLoad(view: EndpointView): EndpointView {
-    if (this.clock.now() - view.reportedAtMs < MAXIMUM_LOAD_AGE_MS) return view;
+  /** Returns a view without an outdated load report and with the wait for a permit. */
+  private currentView(view: EndpointView): EndpointView {
+    const permitWaitMs = this.rateLimits.expectedWaitMs(view.endpoint);
+    if (this.clock.now() - view.reportedAtMs < MAXIMUM_LOAD_AGE_MS) {
+      return permitWaitMs === view.permitWaitMs ? view : { ...view, permitWaitMs };
+    }
     const load = { running: view.localRunning, queued: 0, cachedTokens: 0 };
-    return { ...view, load, sentSinceReport: 0 };
+    return { ...view, load, sentSinceReport: 0, permitWaitMs };
   }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { RoutedConfiguration } from '@marjorampin/routing';
 import { RouteTable } from '@marjorampin/routing';
-import type { TurnStore } from '@marjorampin/turns';
+import type { PermitClient, TurnStore } from '@marjorampin/turns';
 import {
   type CallError,
   type Clock,
@@ -49,6 +49,7 @@
   domain: string;
   headerCodec: HeaderCodec;
   turns: TurnStore;
+  permits: PermitClient;
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
@@ -90,13 +91,14 @@
 
   constructor(options: GatewayOptions) {
     this.options = options;
-    const { clock, domain, headerCodec, log, metrics, turns } = options;
+    const { clock, domain, headerCodec, log, metrics, turns, permits } = options;
     this.lag = new LoopLag({ clock });
-    this.choice = new EndpointChoice({ clock, domain });
+    const rateLimits = new RateLimits({ permits, clock, log, metrics });
+    this.choice = new EndpointChoice({ clock, domain, rateLimits });
     const { stalenessMs } = options;
     const attempts = new EndpointAttempts({
       choice: this.choice,
-      rateLimits: new RateLimits({ clock, log, metrics }),
+      rateLimits,
       headerCodec,
       clock,
       log,
--- a/packages/gateway/src/rateLimits.ts
+++ b/packages/gateway/src/rateLimits.ts
@@ -1,5 +1,7 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
+import type { RateLimit } from '@marjorampin/routing';
+import type { Permit, PermitClient } from '@marjorampin/turns';
 import type { Clock, Endpoint } from '@marjorampin/types';
 import type { EndpointAnswer } from './endpointExchange';
 import { TrackedRateLimit } from './trackedRateLimit';
@@ -15,12 +17,15 @@
 
 /** Options of `RateLimits`. */
 export interface RateLimitsOptions {
+  permits: PermitClient;
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
 }
 
-/** Tracks the rate limits that endpoints state in their answers. */
+const UNLIMITED: Permit = { outcome: 'granted', waitMs: 0, limit: undefined };
+
+/** Tracks the rate limits that endpoints state in their answers, and acquires permits under them. */
 export class RateLimits {
   private readonly options: RateLimitsOptions;
 
@@ -36,6 +41,30 @@
     );
   }
 
+  /** Returns the expected wait until an endpoint's limit allows another request. */
+  expectedWaitMs(endpoint: Endpoint): number {
+    const isLimited = this.find(endpoint)?.perSecond !== undefined;
+    return isLimited ? this.options.permits.expectedWaitMs(keyOf(endpoint)) : 0;
+  }
+
+  /** Acquires the permit to send a request to an endpoint; at once if it has no limit. */
+  async acquire(endpoint: Endpoint, maximumWaitMs: number): Promise<Permit> {
+    const { permits, metrics } = this.options;
+    const limit = this.find(endpoint);
+    if (limit?.perSecond === undefined) return UNLIMITED;
+    const permit = await permits.acquire({
+      endpoint: keyOf(endpoint),
+      limit: limit.observed.current,
+      maximumWaitMs,
+    });
+    const { service } = endpoint;
+    const isDelayed = permit.outcome === 'granted' && permit.waitMs > 0;
+    metrics.count('permits_total', { service, outcome: isDelayed ? 'delayed' : permit.outcome });
+    if (isDelayed) metrics.observe('permit_wait', { service }, permit.waitMs);
+    if (permit.limit) this.observe(endpoint, limit, permit.limit);
+    return permit;
+  }
+
   /** Counts a request that is sent to an endpoint. */
   recordSend(endpoint: Endpoint, isRepeat: boolean): void {
     const limit = this.find(endpoint);
@@ -54,12 +83,19 @@
       this.logInvalid(endpoint, limit);
       return;
     }
+    const wasLimited = limit.perSecond !== undefined;
+    if (stated !== 'none') {
+      this.observe(endpoint, limit, { perSecond: stated, observedAtMs: this.options.clock.now() });
+      return;
+    }
+    this.observe(endpoint, limit, { perSecond: undefined, observedAtMs: sentAtMs });
+    const hasEnded = wasLimited && limit.perSecond === undefined;
+    if (hasEnded) this.options.permits.reportEnd(keyOf(endpoint), limit.observed.current);
+  }
+
+  private observe(endpoint: Endpoint, limit: TrackedRateLimit, observed: RateLimit): void {
     const previous = limit.perSecond;
-    limit.observed.observe(
-      stated === 'none'
-        ? { perSecond: undefined, observedAtMs: sentAtMs }
-        : { perSecond: stated, observedAtMs: this.options.clock.now() },
-    );
+    limit.observed.observe(observed);
     if (limit.perSecond !== previous) this.logChange(endpoint, limit, previous);
   }
 
@@ -99,6 +135,11 @@
   }
 }
 
+/** Returns the key under which the permits of an endpoint are granted. */
+function keyOf({ id, incarnation }: Endpoint): string {
+  return `${id} ${incarnation}`;
+}
+
 /** Returns whether an answer certainly comes from the endpoint that the request was sent to. */
 function isFromEndpoint({ status, parsedHeaders }: StatingAnswer): boolean {
   return parsedHeaders.isGenuine || (parsedHeaders.isNotRun && status !== MISDIRECTED_STATUS);
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -224,6 +224,12 @@
     message: 'a keeper is unreachable',
     remedy: 'Check the host of the keeper if this repeats.',
   },
+  permitFailed: {
+    number: 714,
+    level: 'warn',
+    message: 'a keeper did not reply to a request about the rate limit of an endpoint',
+    remedy: 'Check the host of the keeper, and run the same version on all hosts.',
+  },
   configurationChanged: {
     number: 800,
     level: 'info',
--- a/packages/routing/src/chooseEndpoint.ts
+++ b/packages/routing/src/chooseEndpoint.ts
@@ -47,9 +47,10 @@
 /** A program leaves its warm endpoint only if another one costs less than this share of its cost. */
 const HYSTERESIS_FACTOR = 0.85;
 
-/** Returns the milliseconds by which the calls at an endpoint are expected to delay a new one. */
+/** Returns the milliseconds by which the calls at an endpoint, and its rate limit, are expected to
+ * delay a new call. */
 export function expectedWaitMs(
-  { load, localRunning, sentSinceReport }: EndpointView,
+  { load, localRunning, sentSinceReport, permitWaitMs }: EndpointView,
   {
     runningCallMs = RUNNING_CALL_MS,
     queuedCallMs = QUEUED_CALL_MS,
@@ -59,7 +60,8 @@
   // Load reports lag behind, so calls sent since the latest one are added.
   const reported = load.running + load.queued;
   const unreported = usesUnreportedCalls ? Math.max(sentSinceReport, localRunning - reported) : 0;
-  return (load.running + Math.max(0, unreported)) * runningCallMs + load.queued * queuedCallMs;
+  const running = load.running + Math.max(0, unreported);
+  return running * runningCallMs + load.queued * queuedCallMs + permitWaitMs;
 }
 
 /**
--- a/packages/routing/src/endpointDirectory.ts
+++ b/packages/routing/src/endpointDirectory.ts
@@ -20,6 +20,8 @@
   /** Clock time before which the endpoint gets no new calls. */
   excludedUntilMs: number;
   isLeaving: boolean;
+  /** Expected wait in milliseconds until the endpoint's rate limit allows another request. */
+  permitWaitMs: number;
   /** Smoothed milliseconds for each output token of this process's calls; 0 until measured. */
   msPerToken: number;
 }
@@ -79,14 +81,18 @@
     return this.views.get(id);
   }
 
-  /** Returns the endpoints of a service that may get new calls: neither leaving nor excluded. */
+  /** Returns the endpoints of a service that may get new calls. */
   available(service: string): EndpointView[] {
-    const now = this.clock.now();
     return [...this.views.values()].filter(
-      (view) => view.endpoint.service === service && !view.isLeaving && view.excludedUntilMs <= now,
+      (view) => view.endpoint.service === service && this.isUsable(view),
     );
   }
 
+  /** Returns whether an endpoint may get new calls: it is neither leaving nor excluded. */
+  isUsable({ isLeaving, excludedUntilMs }: EndpointView): boolean {
+    return !isLeaving && excludedUntilMs <= this.clock.now();
+  }
+
   /** Returns the state of all registered endpoints. */
   all(): EndpointView[] {
     return [...this.views.values()];
@@ -144,6 +150,7 @@
       sentSinceReport: 0,
       excludedUntilMs: 0,
       isLeaving: this.isLeaving(endpoint),
+      permitWaitMs: 0,
       msPerToken: 0,
     });
   }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,6 +3,7 @@
 export * from './chooseEndpoint';
 export * from './endpointDirectory';
 export * from './observedRateLimit';
+export * from './permitSchedule';
 export * from './refusal';
 export * from './route';
 export * from './routeTable';
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -6,9 +6,14 @@
 const MINIMUM_DELAY_MS = 100;
 /** Share of the remaining time that a caller may be told to wait, so that two attempts are left. */
 const MAXIMUM_DELAY_SHARE = 1 / 3;
-/** Calls that continue a program return in the first half of the delay, new ones in the second. */
+/** Calls that continue a program return in the first half of the delay, new ones in the second; new
+ * ones wait half as long for a permit. */
 const CONTINUATION_SHARE = 0.5;
 
+/** Share of the remaining time, and longest time, that a call waits for a rate-limited endpoint. */
+const MAXIMUM_PERMIT_WAIT_SHARE = 1 / 8;
+const MAXIMUM_PERMIT_WAIT_MS = 500;
+
 /** A call that may have to be refused. */
 export interface RefusalRequest {
   /** Milliseconds until the caller's deadline. */
@@ -33,6 +38,16 @@
   return Number.isFinite(waitMs) && waitMs > remainingMs;
 }
 
+/**
+ * Returns how long a call waits for the permit of a rate-limited endpoint, in milliseconds. Answers
+ * demand above the limits: few calls wait, so that those that are served are served soon, and calls
+ * that continue a program get the permits for which new ones don't wait long enough.
+ */
+export function permitPatienceMs({ remainingMs, isContinuation }: RefusalRequest): number {
+  const patienceMs = Math.min(MAXIMUM_PERMIT_WAIT_MS, remainingMs * MAXIMUM_PERMIT_WAIT_SHARE);
+  return isContinuation ? patienceMs : patienceMs * CONTINUATION_SHARE;
+}
+
 /**
  * Returns the delay after which a refused caller should retry, in milliseconds: about the time in
  * which the least loaded endpoint works off its queue. Answers the return of many refused callers
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -137,13 +137,28 @@
     }
   }
 
+  /** Returns the keepers that store a program, or that share the rate limit of an endpoint. */
+  groupOf(key: string): Keeper[] {
+    // Throws before the first roster.
+    return this.activeRoster ? (this.groups?.groupOf(key) ?? []) : [];
+  }
+
+  /** Expected latency of a keeper's reply in milliseconds; infinite if it is unresponsive. */
+  expectedMs(keeper: Keeper): number {
+    return this.monitor.expectedMs(keeper.id, USUAL_MS + this.distanceMs(keeper));
+  }
+
   /** Calls one keeper and records whether and how fast it replies. */
-  private async callKeeper({ id, address }: Keeper, body: RequestBody): Promise<Reply> {
+  async callKeeper(
+    { id, address }: Keeper,
+    body: RequestBody,
+    progressTimeoutMs = QUORUM_TIMEOUT_MS,
+  ): Promise<Reply> {
     const { peers, clock } = this.options;
     const startedAtMs = clock.now();
     const reply = await peers
       .get(address)
-      .call(body, { progressTimeoutMs: QUORUM_TIMEOUT_MS })
+      .call(body, { progressTimeoutMs })
       .catch((error: unknown) => {
         this.monitor.recordFailure(id, error);
         throw error;
@@ -183,10 +198,6 @@
     return Math.min(MAXIMUM_HEDGE_MS, Math.max(MINIMUM_HEDGE_MS, HEDGE_FACTOR * slowestMs));
   }
 
-  private expectedMs(keeper: Keeper): number {
-    return this.monitor.expectedMs(keeper.id, USUAL_MS + this.distanceMs(keeper));
-  }
-
   private distanceMs({ domain }: Keeper): number {
     return domain === this.options.domain ? 0 : OTHER_DOMAIN_MS;
   }
@@ -209,11 +220,6 @@
     const lostShare = 1 - available / sample.length;
     this.options.log.write(isAvailable ? 'keepersRegained' : 'keepersLost', { lostShare });
   }
-
-  private groupOf(program: string): Keeper[] {
-    // Throws before the first roster.
-    return this.activeRoster ? (this.groups?.groupOf(program) ?? []) : [];
-  }
 }
 
 /** Returns the request for one keeper; only the first keeper of a group returns the chain. */
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -5,6 +5,7 @@
 export * from './keeperProcess';
 export * from './keeperMonitor';
 export * from './keeperState';
+export * from './permitClient';
 export * from './programTable';
 export * from './restoration';
 export * from './relayedStore';
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -1,6 +1,7 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Hash } from '@marjorampin/membership';
 import {
+  type AcquirePermit,
   type CommitTurn,
   type CopyPrograms,
   type EndpointReport,
@@ -10,6 +11,7 @@
   type ProgramCopy,
   type ReadTurns,
   type ReplySchema,
+  type ReportRateLimit,
   type Request,
   type ReserveTokens,
   type Roster,
@@ -19,7 +21,9 @@
 import type { Snapshot, StoreError } from '@marjorampin/store';
 import { CallError, type Clock, type Result } from '@marjorampin/types';
 import type { DurableLog } from './durableLog';
+import { PermitTable } from './permitTable';
 import type { ProgramTable } from './programTable';
+import { fromRateLimitMessage, toRateLimitMessage } from './rateLimitMessage';
 import { isAssigned } from './restoration';
 
 /** Retry delay sent to callers before the roster is read; a starting keeper reads it within this
@@ -57,9 +61,12 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  private readonly permits: PermitTable;
+
   constructor(options: KeeperHandlerOptions) {
     super();
     this.options = options;
+    this.permits = new PermitTable({ clock: options.clock });
   }
 
   /** Adds a listener that is called after each newer roster. */
@@ -103,6 +110,10 @@
       }
       case 'listValues':
         return this.listValues();
+      case 'acquirePermit':
+        return this.newerRosterReply(body.value.rosterVersion) ?? this.acquirePermit(body.value);
+      case 'reportRateLimit':
+        return this.recordRateLimit(body.value);
       case 'probe':
         return { body: { case: 'acknowledgement', value: { accepted: true } } };
       default:
@@ -213,6 +224,32 @@
     return { body: { case: 'turnChain', value } };
   }
 
+  private acquirePermit({
+    endpoint,
+    limit,
+    owners,
+    rank,
+    maximumWaitMs,
+  }: AcquirePermit): ReplyInit {
+    const nowMs = this.options.clock.now();
+    const observed = fromRateLimitMessage(limit, nowMs);
+    const { isGranted, waitMs, nextWaitMs } = this.permits.acquire({
+      endpoint,
+      limit: observed,
+      owners: Math.max(1, owners),
+      rank,
+      maximumWaitMs,
+    });
+    const newest = toRateLimitMessage(this.permits.observe(endpoint, observed), nowMs);
+    const value = { granted: isGranted, waitMs, nextWaitMs, limit: newest };
+    return { body: { case: 'permit', value } };
+  }
+
+  private recordRateLimit({ endpoint, limit }: ReportRateLimit): ReplyInit {
+    this.permits.observe(endpoint, fromRateLimitMessage(limit, this.options.clock.now()));
+    return { body: { case: 'acknowledgement', value: { accepted: true } } };
+  }
+
   private copy({ roster, receiver, after }: CopyPrograms): ReplyInit {
     if (!roster) throw missing('roster');
     this.adopt(roster);
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -58,6 +58,11 @@
     return this.group.roster;
   }
 
+  /** The keepers, also for requests that concern no turns. */
+  get keepers(): GroupClient {
+    return this.group;
+  }
+
   /** Replaces the roster if the given one is newer. */
   adopt(roster: Roster): void {
     this.group.adopt(roster);
