--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,6 +7,7 @@
 export * from './httpStandin';
 export * from './linkProxy';
 export * from './keyValueStoreStandin';
+export * from './permitKeepersStandin';
 export * from './prefixCache';
 export * from './propertyParameters';
 export * from './rawStandin';
--- /dev/null
+++ b/packages/standins/src/permitKeepersStandin.ts
@@ -0,0 +1,119 @@
+import { create } from '@bufbuild/protobuf';
+import { type Hash, loadHash } from '@marjorampin/membership';
+import {
+  type Keeper,
+  ReplySchema,
+  RequestSchema,
+  type Roster,
+  RosterSchema,
+} from '@marjorampin/protocol';
+import { groupOf, KeeperHandler, type PermitKeepers, ProgramTable } from '@marjorampin/turns';
+import { CallError, type Clock } from '@marjorampin/types';
+
+const LOSS_LIMIT = 1;
+
+/** Options of `PermitKeepersStandin`. */
+export interface PermitKeepersOptions {
+  clock: Clock;
+  /** Ids of the keepers; three by default. */
+  ids?: string[];
+}
+
+/** Keepers without disks and network, which grant permits for rate-limited endpoints. */
+export class PermitKeepersStandin {
+  private readonly clock: Clock;
+
+  private readonly hash: Hash;
+
+  private readonly handlers = new Map<string, KeeperHandler>();
+
+  /** Pairs of an entry and a keeper that don't reach each other. */
+  private readonly cuts = new Set<string>();
+
+  private roster = create(RosterSchema, { version: 0 });
+
+  /** Outdated rosters, by entry. */
+  private readonly outdated = new Map<string, Roster>();
+
+  private constructor({ clock, ids = ['k0', 'k1', 'k2'] }: PermitKeepersOptions, hash: Hash) {
+    this.clock = clock;
+    this.hash = hash;
+    this.setKeepers(ids);
+  }
+
+  /** Creates the keepers. */
+  static async create(options: PermitKeepersOptions): Promise<PermitKeepersStandin> {
+    return new PermitKeepersStandin(options, await loadHash());
+  }
+
+  /**
+   * Replaces the roster; a keeper that was not part of the previous one starts anew. Removed keepers
+   * keep running with the previous roster, and `unaware` entries keep it until `updateAll` or until a
+   * keeper replies with the new one.
+   */
+  setKeepers(ids: string[], unaware: string[] = []): void {
+    unaware.forEach((entry) => this.outdated.set(entry, this.rosterOf(entry)));
+    const previousIds = this.roster.keepers.map(({ id }) => id);
+    const keepers = ids.map((id) => ({ id, address: id, domain: id, disk: id, leaving: false }));
+    this.roster = create(RosterSchema, { version: this.roster.version + 1, keepers });
+    ids.forEach((id) => {
+      if (previousIds.includes(id)) this.handlers.get(id)?.adopt(this.roster);
+      else this.restart(id);
+    });
+  }
+
+  /** Gives the current roster to all entries. */
+  updateAll(): void {
+    this.outdated.clear();
+  }
+
+  /** Restarts a keeper, which loses everything that is not on its disk. */
+  restart(id: string): void {
+    const handler = new KeeperHandler({
+      table: new ProgramTable(),
+      durableLog: { append: async () => undefined },
+      clock: this.clock,
+      hash: this.hash,
+      lossLimit: LOSS_LIMIT,
+      listValues: () => Promise.reject(new Error('the stand-in has no store')),
+    });
+    handler.adopt(this.roster);
+    this.handlers.set(id, handler);
+  }
+
+  /** Cuts an entry off from a keeper. */
+  cut(entry: string, keeper: string): void {
+    this.cuts.add(`${entry} ${keeper}`);
+  }
+
+  /** Ends all cuts. */
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  /** Returns the keepers as one entry sees them. */
+  of(entry: string): PermitKeepers {
+    const isCut = ({ id }: Keeper) => this.cuts.has(`${entry} ${id}`);
+    const rosterOf = () => this.rosterOf(entry);
+    return {
+      get roster() {
+        return rosterOf();
+      },
+      groupOf: (key) => groupOf(rosterOf(), key, { lossLimit: LOSS_LIMIT, hash: this.hash }),
+      expectedMs: (keeper) => (isCut(keeper) ? Infinity : 0),
+      callKeeper: async (keeper, body) => {
+        const handler = this.handlers.get(keeper.id);
+        if (!handler || isCut(keeper)) {
+          throw new CallError({ kind: 'connection-lost', message: 'the keeper is cut off' });
+        }
+        const reply = await handler.handle(create(RequestSchema, { body }));
+        if (reply.body?.case === 'newerRoster') this.outdated.delete(entry);
+        return create(ReplySchema, reply);
+      },
+    };
+  }
+
+  private rosterOf(entry: string): Roster {
+    return this.outdated.get(entry) ?? this.roster;
+  }
+}
