Customer limits: a refused call no longer takes the rate of later ones

What callers saw: a customer that asked more often than its contract allows got far less than the contract's rate, at worst nothing after the first burst. Cause: a refused call set the bucket to zero, so it never reached a whole call. Refused calls now leave the bucket as it is.

--- a/packages/entry/src/customerLimits.ts
+++ b/packages/entry/src/customerLimits.ts
@@ -30,8 +30,9 @@
     const bucket = this.buckets.get(customer) ?? { tokens: capacity, refilledAtMs: now };
     const refilled = bucket.tokens + ((now - bucket.refilledAtMs) * rate) / 1_000;
     const tokens = Math.min(capacity, refilled);
-    this.buckets.set(customer, { tokens: Math.max(0, tokens - 1), refilledAtMs: now });
-    if (tokens >= 1) return;
+    const isAdmitted = tokens >= 1;
+    this.buckets.set(customer, { tokens: isAdmitted ? tokens - 1 : tokens, refilledAtMs: now });
+    if (isAdmitted) return;
     const retryAfterMs = Math.ceil(((1 - tokens) * 1_000) / rate);
     const message = `the contract of "${customer}" allows ${limits.callsPerSecond} calls per second; retry after ${retryAfterMs} ms`;
     throw new CallError({ kind: 'rate-limited', message, retryAfterMs });
