Customer limits: the owners of a contract's partitions divide it exactly

Each owner admitted at least one call a second and rounded its part of the concurrent programs up, so a contract of 1 call a second and 1 program with 8 partitions at 8 owners got 8 of each.

Programs that were opened under higher limits, in a partition without a part, keep a small rate of their own until they end.

--- a/packages/entry/src/callerApi.ts
+++ b/packages/entry/src/callerApi.ts
@@ -4,7 +4,6 @@
   CallError,
   type Clock,
   type Contract,
-  customerPartitions,
   parseProgramId,
   toCallError,
 } from '@marjorampin/types';
@@ -13,6 +12,7 @@
 import type { CallRouter } from './callRouter';
 import { OPEN_API } from './openApi';
 import { problemOf, problemResponse } from './problemDetails';
+import { usedPartitions } from './contractTerms';
 import { readJson } from './readJson';
 
 /** Deadline of calls whose schema has none: opening, spawning, ending and reading histories. */
@@ -167,8 +167,8 @@
   }
 
   /** Prefers partitions that this process owns, so that the program's calls need no forwarding. */
-  private pickPartition({ customer, partitions }: Contract): number {
-    const candidates = customerPartitions(customer, partitions);
+  private pickPartition(contract: Contract): number {
+    const candidates = usedPartitions(contract);
     const owned = this.options.filterOwned(candidates);
     const choices = owned.length > 0 ? owned : candidates;
     return choices[Math.floor(Math.random() * choices.length)] ?? 0;
--- a/packages/entry/src/customerLimits.ts
+++ b/packages/entry/src/customerLimits.ts
@@ -9,7 +9,7 @@
   refilledAtMs: number;
 }
 
-/** Limits each customer's call rate in proportion to the share of its partitions owned here. */
+/** Limits the rate of each customer's calls at this owner of a part of its partitions. */
 export class CustomerLimits {
   private readonly clock: Clock;
 
@@ -19,14 +19,11 @@
     this.clock = clock;
   }
 
-  /**
-   * Counts a call; throws `rate-limited` above the contract's rate times the share of the
-   * customer's partitions owned here, or above one call per second if that is more.
-   */
-  admit({ customer, limits }: Contract, share: number): void {
-    const rate = Math.max(limits.callsPerSecond * share, 1);
+  /** Counts a call; throws `rate-limited` above `rate` calls per second, this owner's part of the
+   * contract's rate. */
+  admit({ customer, limits }: Contract, rate: number): void {
     const now = this.clock.now();
-    const capacity = rate * BURST_SECONDS;
+    const capacity = Math.max(1, rate * BURST_SECONDS);
     const bucket = this.buckets.get(customer) ?? { tokens: capacity, refilledAtMs: now };
     const refilled = bucket.tokens + ((now - bucket.refilledAtMs) * rate) / 1_000;
     const tokens = Math.min(capacity, refilled);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -266,7 +266,7 @@
       log,
       metrics,
       epochOf: (partition) => ownership.epochOf(partition),
-      shareOf: (partitions) => ownership.shareOf(partitions),
+      owns: (partition) => ownership.owns(partition),
       storeAtNewOwner: (program, segment) => sender.sendCallEnd(program, segment),
       reportCallEnd: (program) => {
         sender.sendCallEndWithRetries(program);
--- a/packages/entry/src/ownership.ts
+++ b/packages/entry/src/ownership.ts
@@ -126,10 +126,9 @@
     if (owned) owned.awaitedSender = '';
   }
 
-  /** Returns the share of the listed partitions that this process owns, from 0 to 1. */
-  shareOf(partitions: number[]): number {
-    const ownedCount = partitions.filter((partition) => this.owned.has(partition)).length;
-    return ownedCount / Math.max(1, partitions.length);
+  /** Returns whether this process owns a partition. */
+  owns(partition: number): boolean {
+    return this.owned.has(partition);
   }
 
   /** Number of owned partitions. */
--- a/packages/entry/src/programOwner.ts
+++ b/packages/entry/src/programOwner.ts
@@ -7,7 +7,6 @@
   type Clock,
   type Contract,
   createProgramId,
-  customerPartitions,
   sha256Hex,
   type Segment,
   toCallError,
@@ -24,7 +23,13 @@
 } from './calls';
 import { Answers, NO_USAGE, type TurnUsage } from './answers';
 import { ContextReleaser } from './contextReleaser';
-import { contractOf, priorityOf, serviceOf } from './contractTerms';
+import {
+  callRateAllowance,
+  contractOf,
+  priorityOf,
+  programAllowance,
+  serviceOf,
+} from './contractTerms';
 import { CustomerLimits } from './customerLimits';
 import type { EndpointDispatcher } from './endpointDispatcher';
 import type { HistoryReplicator } from './historyReplicator';
@@ -47,8 +52,8 @@
   metrics: Metrics;
   /** Returns the epoch under which this process owns a partition; throws `not-owner`. */
   epochOf(partition: number): Promise<number>;
-  /** Returns the share of a customer's partitions that this process owns, from 0 to 1. */
-  shareOf(partitions: number[]): number;
+  /** Returns whether this process owns a partition. */
+  owns(partition: number): boolean;
   /** Sends a turn that ran here to the new owner; returns the ids of the entries that store it. */
   storeAtNewOwner(program: Program, segment: Segment): Promise<string[]>;
   /** Reports to the new owner of a program that its call here ended without a turn. */
@@ -90,7 +95,7 @@
   async execute(call: Call): Promise<string> {
     const epoch = await this.options.epochOf(call.partition);
     const contract = contractOf(this.options.configuration, call.customer);
-    this.limits.admit(contract, this.shareOf(contract));
+    this.limits.admit(contract, callRateAllowance(contract, this.options.owns));
     const body: unknown = JSON.parse(call.body);
     switch (call.method) {
       case 'open':
@@ -105,8 +110,8 @@
   private open(call: Call, body: OpenCallBody, contract: Contract, epoch: number): string {
     const { registry, clock } = this.options;
     const { customer, limits, programBudgetTokens, programLifetimeMs } = contract;
-    const share = this.shareOf(contract);
-    if (registry.countActive(customer) >= Math.ceil(limits.concurrentPrograms * share)) {
+    const allowance = programAllowance(contract, this.options.owns);
+    if (registry.countActive(customer) >= allowance) {
       const message = `the contract of "${customer}" allows ${limits.concurrentPrograms} programs at once; end one or retry later`;
       throw new CallError({ kind: 'rate-limited', message, retryAfterMs: 1_000 });
     }
@@ -353,10 +358,6 @@
       throw new CallError({ kind, message, retryAfterMs, execution: 'unknown' });
     }
   }
-
-  private shareOf({ customer, partitions }: Contract): number {
-    return this.options.shareOf(customerPartitions(customer, partitions));
-  }
 }
 
 function endOutcome(_body: EndCallBody): TurnOutcome {
