--- a/packages/turns/src/restoration.ts
+++ b/packages/turns/src/restoration.ts
@@ -78,25 +78,31 @@
     const page = await requestPage(peers, source, { roster, receiver: self, after });
     // The writes of a page run concurrently, so that they share one sync of the log.
     const missing = (await Promise.all(page.programs.map(importProgram))).flat();
-    await copyTurns(source, missing, options);
+    // A source that lost its disk since it sent the page lacks turns that it listed.
+    if (!(await copyTurns(source, missing, options))) return false;
     if (!page.hasMore) return page.intact;
     after = page.programs.at(-1)?.program ?? after;
   }
 }
 
+/** Copies turns; resolves to true if those that the source lacks can only have expired. */
 async function copyTurns(
   { id, address }: Keeper,
   missing: string[],
   { peers, importTurns }: RestorationOptions,
-): Promise<void> {
+): Promise<boolean> {
+  let isIntact = true;
   for (let start = 0; start < missing.length; start += TURNS_PER_COPY) {
     const turns = missing.slice(start, start + TURNS_PER_COPY);
     const reply = await peers
       .get(address)
       .call({ case: 'copyTurns', value: { turns } }, { progressTimeoutMs: PAGE_TIMEOUT_MS });
     if (reply.body.case !== 'turnChain') throw new Error(`keeper ${id} did not return its turns`);
-    await importTurns(reply.body.value.records);
+    const { records, complete } = reply.body.value;
+    await importTurns(records);
+    isIntact = isIntact && complete;
   }
+  return isIntact;
 }
 
 async function requestPage(
