Permits: a silent keeper holds a call up for 300 ms at most, once a second

Found by reading: a paused keeper that owns a part of a limit held every call to the endpoint for half a second until its monitor noticed, and that timeout alone marked the keeper as unresponsive, also for turns. The entry now asks the next owner after 300 ms and leaves a silent one out for a second, while the request's own timeout, the same as for turns, decides whether the keeper counts as unresponsive. Three cases of permits.test.ts fail without the change (they wait for ever, as the stand-in has no timeout of its own).

--- a/packages/standins/src/permitKeepersStandin.ts
+++ b/packages/standins/src/permitKeepersStandin.ts
@@ -11,6 +11,9 @@
 import { CallError, type Clock } from '@marjorampin/types';
 
 const LOSS_LIMIT = 1;
+const NEVER = new Promise<never>(() => {
+  // Never settles.
+});
 
 /** Options of `PermitKeepersStandin`. */
 export interface PermitKeepersOptions {
@@ -27,6 +30,9 @@
 
   private readonly handlers = new Map<string, KeeperHandler>();
 
+  /** Ids of keepers that don't reply although they are reachable. */
+  private readonly silent = new Set<string>();
+
   /** Pairs of an entry and a keeper that don't reach each other. */
   private readonly cuts = new Set<string>();
 
@@ -81,6 +87,11 @@
     this.handlers.set(id, handler);
   }
 
+  /** Makes a keeper silent, as one whose process is paused. */
+  silence(id: string): void {
+    this.silent.add(id);
+  }
+
   /** Cuts an entry off from a keeper. */
   cut(entry: string, keeper: string): void {
     this.cuts.add(`${entry} ${keeper}`);
@@ -106,6 +117,7 @@
         if (!handler || isCut(keeper)) {
           throw new CallError({ kind: 'connection-lost', message: 'the keeper is cut off' });
         }
+        if (this.silent.has(keeper.id)) return NEVER;
         const reply = await handler.handle(create(RequestSchema, { body }));
         if (reply.body?.case === 'newerRoster') this.outdated.delete(entry);
         return create(ReplySchema, reply);
--- a/packages/turns/src/__tests__/permits.test.ts
+++ b/packages/turns/src/__tests__/permits.test.ts
@@ -187,3 +187,33 @@
     assert.ok(used >= share, `only ${used} of the limit is used`);
   });
 });
+
+/** Silent keepers among three, and how they may hold up several requests together. */
+const SILENCE_CASES = [
+  { silent: ['k0'], outcome: 'granted', mostMs: 300 },
+  { silent: ['k0', 'k1'], outcome: 'granted', mostMs: 600 },
+  { silent: ['k0', 'k1', 'k2'], outcome: 'unavailable', mostMs: 900 },
+];
+
+SILENCE_CASES.forEach(({ silent, outcome, mostMs }) => {
+  test(`${silent.length} of 3 silent keepers hold up each request for a permit`, async () => {
+    const clock = new ManualClock();
+    const keepers = await PermitKeepersStandin.create({ clock });
+    const client = new PermitClient({ keepers: keepers.of('0'), clock, log: new MemoryEventLog() });
+    silent.forEach((id) => keepers.silence(id));
+    const acquireAll = async () => {
+      const outcomes: string[] = [];
+      for (let request = 0; request < 6; request += 1) {
+        const limit = { perSecond: 600, observedAtMs: 0 };
+        const permit = await client.acquire({ endpoint: 'e', limit, maximumWaitMs: PATIENCE_MS });
+        outcomes.push(permit.outcome);
+      }
+      return { outcomes, endedAtMs: clock.now() };
+    };
+    const acquired = acquireAll();
+    await clock.advance(mostMs + STEP_MS);
+    const { outcomes, endedAtMs } = await acquired;
+    assert.deepEqual([...new Set(outcomes)], [outcome]);
+    assert.ok(endedAtMs <= mostMs, `the requests took ${endedAtMs} ms`);
+  });
+});
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -149,16 +149,12 @@
   }
 
   /** Calls one keeper and records whether and how fast it replies. */
-  async callKeeper(
-    { id, address }: Keeper,
-    body: RequestBody,
-    progressTimeoutMs = QUORUM_TIMEOUT_MS,
-  ): Promise<Reply> {
+  async callKeeper({ id, address }: Keeper, body: RequestBody): Promise<Reply> {
     const { peers, clock } = this.options;
     const startedAtMs = clock.now();
     const reply = await peers
       .get(address)
-      .call(body, { progressTimeoutMs })
+      .call(body, { progressTimeoutMs: QUORUM_TIMEOUT_MS })
       .catch((error: unknown) => {
         this.monitor.recordFailure(id, error);
         throw error;
--- a/packages/turns/src/permitClient.ts
+++ b/packages/turns/src/permitClient.ts
@@ -6,8 +6,11 @@
 import { OwnerWaits } from './ownerWaits';
 import { fromRateLimitMessage, toRateLimitMessage } from './rateLimitMessage';
 
-/** Timeout of a request for a permit; well above the time of a reply from a busy keeper. */
-const PERMIT_TIMEOUT_MS = 500;
+/** Time after which another keeper is asked; several round trips between failure domains. A keeper
+ * counts as unresponsive only later, as it may be busy. */
+const PERMIT_TIMEOUT_MS = 300;
+/** Time for which a keeper that did not reply in time is not asked for permits. */
+const SILENCE_EXCLUSION_MS = 1_000;
 
 /** Keepers as `PermitClient` uses them. */
 export interface PermitKeepers {
@@ -18,7 +21,7 @@
   /** Expected latency of a keeper's reply in milliseconds; infinite if it is unresponsive. */
   expectedMs(keeper: Keeper): number;
   /** Sends a request to one keeper. */
-  callKeeper(keeper: Keeper, body: RequestBody, timeoutMs: number): Promise<Reply>;
+  callKeeper(keeper: Keeper, body: RequestBody): Promise<Reply>;
 }
 
 /** Permit to send one request to an endpoint, or the reason why there is none. */
@@ -68,6 +71,8 @@
 
   private readonly waits: OwnerWaits;
 
+  private readonly excludedUntilMs = new Map<string, number>();
+
   constructor({ keepers, clock, log }: PermitClientOptions) {
     this.keepers = keepers;
     this.clock = clock;
@@ -84,15 +89,14 @@
   async acquire(request: PermitClientRequest): Promise<Permit> {
     const { endpoint, maximumWaitMs } = request;
     const owners = this.owners(endpoint);
-    const candidates = owners
+    const reachable = owners
       .map((owner, rank) => ({ owner, rank, costMs: this.costMs(endpoint, owner) }))
-      .filter(({ owner, costMs }) => {
-        const isReachable = Number.isFinite(costMs);
-        return isReachable && this.waits.expectedMs(endpoint, owner.id) <= maximumWaitMs;
-      })
+      .filter(({ costMs }) => Number.isFinite(costMs));
+    const candidates = reachable
+      .filter(({ owner }) => this.waits.expectedMs(endpoint, owner.id) <= maximumWaitMs)
       .sort((a, b) => a.costMs - b.costMs);
     let permit: Permit = {
-      outcome: owners.some((owner) => this.isReachable(owner)) ? 'denied' : 'unavailable',
+      outcome: reachable.length > 0 ? 'denied' : 'unavailable',
       waitMs: this.expectedWaitMs(endpoint),
       limit: undefined,
     };
@@ -123,20 +127,31 @@
     endpoint: string,
     body: RequestBody,
   ): Promise<Reply | undefined> {
+    const isReplied = new AbortController();
     try {
-      return await this.keepers.callKeeper(owner, body, PERMIT_TIMEOUT_MS);
+      const reply = await Promise.race([
+        this.keepers.callKeeper(owner, body),
+        this.clock.sleep(PERMIT_TIMEOUT_MS, isReplied.signal),
+      ]);
+      if (reply) return reply;
+      throw new Error(`no reply within ${PERMIT_TIMEOUT_MS} ms`);
     } catch (error) {
+      this.excludedUntilMs.set(owner.id, this.clock.now() + SILENCE_EXCLUSION_MS);
       this.log.write('permitFailed', { keeper: owner.id, endpoint, error: String(error) });
       return undefined;
+    } finally {
+      isReplied.abort();
     }
   }
 
-  private isReachable(owner: Keeper): boolean {
-    return Number.isFinite(this.keepers.expectedMs(owner));
+  private isExcluded({ id }: Keeper): boolean {
+    return (this.excludedUntilMs.get(id) ?? 0) > this.clock.now();
   }
 
+  /** Returns the expected time until a permit of an owner can be used; infinite if it is silent. */
   private costMs(endpoint: string, owner: Keeper): number {
-    return this.waits.expectedMs(endpoint, owner.id) + this.keepers.expectedMs(owner);
+    const replyMs = this.isExcluded(owner) ? Infinity : this.keepers.expectedMs(owner);
+    return this.waits.expectedMs(endpoint, owner.id) + replyMs;
   }
 
   private async ask(
