Streams: one decision for the end of an event

WholeEvents and EventBoundary decided separately where an event ends, and only the latter knew line breaks of a single carriage return, so a resumable stream with those was held back until its end.

--- a/packages/gateway/src/eventBoundary.ts
+++ b/packages/gateway/src/eventBoundary.ts
@@ -1,22 +1,34 @@
 /** Length of the longest end of an event: two line breaks of two characters each. */
 const EVENT_END_LENGTH = 4;
 
-/** End of a line and a blank line. A carriage return after CRLF is half of a line break. */
-const EVENT_END = /(?:\n\r?\n|\r\r\n?)$/;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 
 /** Tracks whether a stream of server-sent events is between two events or inside one. */
 export class EventBoundary {
   /** End of the stream so far, which shows a blank line that is split over chunks. */
-  private tail = '';
+  private tail: Buffer = Buffer.alloc(0);
 
   /** Reads the next chunk of the stream. */
   read(chunk: Buffer): void {
-    const end = chunk.subarray(-EVENT_END_LENGTH).toString('latin1');
-    this.tail = (this.tail + end).slice(-EVENT_END_LENGTH);
+    const end = chunk.subarray(-EVENT_END_LENGTH);
+    this.tail = Buffer.concat([this.tail, end]).subarray(-EVENT_END_LENGTH);
   }
 
   /** Whether the latest event has begun but is incomplete. */
   get isInsideEvent(): boolean {
-    return this.tail !== '' && !EVENT_END.test(this.tail);
+    return this.tail.length > 0 && !endsEvent(this.tail, this.tail.length);
   }
 }
+
+/** Returns whether the bytes before `end` end with a blank line, whose line break and the one before it
+ * may be a line feed, a carriage return or both. */
+export function endsEvent(bytes: Buffer, end: number): boolean {
+  const [beforeLast, previous, last] = [bytes[end - 3], bytes[end - 2], bytes[end - 1]];
+  if (last === CARRIAGE_RETURN) return previous === CARRIAGE_RETURN;
+  if (last !== LINE_FEED) return false;
+  if (previous === LINE_FEED) return true;
+  // A carriage return before the line feed belongs to the same line break.
+  const isLongBreak = previous === CARRIAGE_RETURN;
+  return isLongBreak && (beforeLast === LINE_FEED || beforeLast === CARRIAGE_RETURN);
+}
