Permits: owners are found without a walk over all keepers; smaller modules

Each choice filtered all keepers once for each limited endpoint. PermitTable's part for one endpoint is OwnedRateLimit now.

--- a/packages/standins/src/permitKeepersStandin.ts
+++ b/packages/standins/src/permitKeepersStandin.ts
@@ -110,7 +110,7 @@
       get roster() {
         return rosterOf();
       },
-      groupOf: (key) => groupOf(rosterOf(), key, { lossLimit: LOSS_LIMIT, hash: this.hash }),
+      ownersOf: (key) => groupOf(rosterOf(), key, { lossLimit: LOSS_LIMIT, hash: this.hash }),
       expectedMs: (keeper) => (isCut(keeper) ? Infinity : 0),
       callKeeper: async (keeper, body) => {
         const handler = this.handlers.get(keeper.id);
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -137,10 +137,9 @@
     }
   }
 
-  /** Returns the keepers that store a program, or that share the rate limit of an endpoint. */
-  groupOf(key: string): Keeper[] {
-    // Throws before the first roster.
-    return this.activeRoster ? (this.groups?.groupOf(key) ?? []) : [];
+  /** Returns the keepers that share the rate limit of an endpoint; none before the first roster. */
+  ownersOf(endpoint: string): Keeper[] {
+    return this.groups?.groupOf(endpoint) ?? [];
   }
 
   /** Expected latency of a keeper's reply in milliseconds; infinite if it is unresponsive. */
@@ -216,6 +215,11 @@
     const lostShare = 1 - available / sample.length;
     this.options.log.write(isAvailable ? 'keepersRegained' : 'keepersLost', { lostShare });
   }
+
+  private groupOf(program: string): Keeper[] {
+    // Throws before the first roster.
+    return this.activeRoster ? (this.groups?.groupOf(program) ?? []) : [];
+  }
 }
 
 /** Returns the request for one keeper; only the first keeper of a group returns the chain. */
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -224,25 +224,19 @@
     return { body: { case: 'turnChain', value } };
   }
 
-  private acquirePermit({
-    endpoint,
-    limit,
-    owners,
-    rank,
-    maximumWaitMs,
-  }: AcquirePermit): ReplyInit {
+  private acquirePermit(request: AcquirePermit): ReplyInit {
+    const { endpoint, owners, rank, maximumWaitMs } = request;
     const nowMs = this.options.clock.now();
-    const observed = fromRateLimitMessage(limit, nowMs);
-    const { isGranted, waitMs, nextWaitMs } = this.permits.acquire({
+    const permit = this.permits.acquire({
       endpoint,
-      limit: observed,
+      limit: fromRateLimitMessage(request.limit, nowMs),
       owners: Math.max(1, owners),
       rank,
       maximumWaitMs,
     });
-    const newest = toRateLimitMessage(this.permits.observe(endpoint, observed), nowMs);
-    const value = { granted: isGranted, waitMs, nextWaitMs, limit: newest };
-    return { body: { case: 'permit', value } };
+    const { isGranted: granted, waitMs, nextWaitMs } = permit;
+    const limit = toRateLimitMessage(permit.limit, nowMs);
+    return { body: { case: 'permit', value: { granted, waitMs, nextWaitMs, limit } } };
   }
 
   private recordRateLimit({ endpoint, limit }: ReportRateLimit): ReplyInit {
--- a/packages/turns/src/permitClient.ts
+++ b/packages/turns/src/permitClient.ts
@@ -2,7 +2,6 @@
 import type { Keeper, Reply, RequestBody, Roster } from '@marjorampin/protocol';
 import type { RateLimit } from '@marjorampin/routing';
 import type { Clock } from '@marjorampin/types';
-import { activeKeepers } from './keeperGroup';
 import { OwnerWaits } from './ownerWaits';
 import { fromRateLimitMessage, toRateLimitMessage } from './rateLimitMessage';
 
@@ -16,8 +15,8 @@
 export interface PermitKeepers {
   /** Newest roster, or undefined before the first one. */
   readonly roster: Roster | undefined;
-  /** Returns the keepers that share the limit of an endpoint. */
-  groupOf(key: string): Keeper[];
+  /** Returns the keepers that share the limit of an endpoint; none before the first roster. */
+  ownersOf(endpoint: string): Keeper[];
   /** Expected latency of a keeper's reply in milliseconds; infinite if it is unresponsive. */
   expectedMs(keeper: Keeper): number;
   /** Sends a request to one keeper. */
@@ -82,13 +81,13 @@
 
   /** Returns the expected wait for a permit; 0 if nothing is known. */
   expectedWaitMs(endpoint: string): number {
-    return this.waits.shortestMs(endpoint, this.owners(endpoint));
+    return this.waits.shortestMs(endpoint, this.keepers.ownersOf(endpoint));
   }
 
   /** Asks the owners of an endpoint's limit, those with the shortest expected wait first. */
   async acquire(request: PermitClientRequest): Promise<Permit> {
     const { endpoint, maximumWaitMs } = request;
-    const owners = this.owners(endpoint);
+    const owners = this.keepers.ownersOf(endpoint);
     const reachable = owners
       .map((owner, rank) => ({ owner, rank, costMs: this.costMs(endpoint, owner) }))
       .filter(({ costMs }) => Number.isFinite(costMs));
@@ -109,19 +108,13 @@
 
   /** Tells the owners of an endpoint's limit that it has ended. */
   reportEnd(endpoint: string, limit: RateLimit): void {
-    this.owners(endpoint).forEach((owner) => {
+    this.keepers.ownersOf(endpoint).forEach((owner) => {
       const value = { endpoint, limit: toRateLimitMessage(limit, this.clock.now()) };
       // Not repeated: every process that gets an answer without a limit observes the end as well.
       this.call(owner, endpoint, { case: 'reportRateLimit', value });
     });
   }
 
-  private owners(endpoint: string): Keeper[] {
-    const { roster } = this.keepers;
-    const hasKeepers = roster !== undefined && activeKeepers(roster).length > 0;
-    return hasKeepers ? this.keepers.groupOf(endpoint) : [];
-  }
-
   private async call(
     owner: Keeper,
     endpoint: string,
--- a/packages/turns/src/permitTable.ts
+++ b/packages/turns/src/permitTable.ts
@@ -1,32 +1,21 @@
-import {
-  ObservedRateLimit,
-  type PermitDecision,
-  PermitSchedule,
-  type RateLimit,
-} from '@marjorampin/routing';
+import type { PermitDecision, RateLimit } from '@marjorampin/routing';
 import type { Clock } from '@marjorampin/types';
+import { type OwnedPermitRequest, OwnedRateLimit } from './ownedRateLimit';
 
 /** Number of endpoints whose schedules are kept: more than are limited at the same time. */
 const MAXIMUM_ENDPOINTS = 10_000;
-const MS_PER_SECOND = 1_000;
 
 /** Request for the permit to send one request to an endpoint. */
-export interface TablePermitRequest {
+export interface TablePermitRequest extends OwnedPermitRequest {
   /** Key of the endpoint, which differs for each of its incarnations. */
   endpoint: string;
   /** Limit as the requesting process knows it. */
   limit: RateLimit;
-  /** Number of keepers that share the limit, each with an equal part of the rate. */
-  owners: number;
-  /** Position of this keeper among them, from 0. */
-  rank: number;
-  maximumWaitMs: number;
 }
 
-/** Permits for one endpoint. */
-interface LimitedEndpoint {
-  observed: ObservedRateLimit;
-  schedule: PermitSchedule | undefined;
+/** Decision on a permit, with the newest limit that is known. */
+export interface TablePermit extends PermitDecision {
+  limit: RateLimit;
 }
 
 /**
@@ -37,42 +26,31 @@
   private readonly clock: Clock;
 
   /** Least recently used endpoints first. */
-  private readonly endpoints = new Map<string, LimitedEndpoint>();
+  private readonly limits = new Map<string, OwnedRateLimit>();
 
   constructor({ clock }: { clock: Clock }) {
     this.clock = clock;
   }
 
-  /** Records what a process observed, and returns the newest limit that is known. */
-  observe(endpoint: string, limit: RateLimit): RateLimit {
-    return this.observeIn(endpoint, limit).observed.current;
+  /** Decides on a permit; one for an endpoint without a limit is granted at once. */
+  acquire(request: TablePermitRequest): TablePermit {
+    const owned = this.use(request.endpoint);
+    owned.observed.observe(request.limit);
+    const decision = owned.acquire(request, this.clock.now());
+    return { ...decision, limit: owned.observed.current };
   }
 
-  /** Decides on a permit; one for an endpoint without a limit is granted at once. */
-  acquire({ endpoint, limit, owners, rank, maximumWaitMs }: TablePermitRequest): PermitDecision {
-    const limited = this.observeIn(endpoint, limit);
-    const { perSecond } = limited.observed.current;
-    if (perSecond === undefined) return { isGranted: true, waitMs: 0, nextWaitMs: 0 };
-    const nowMs = this.clock.now();
-    const ownPerSecond = perSecond / owners;
-    const firstAtMs = nowMs + ((rank + 1) * MS_PER_SECOND) / perSecond;
-    limited.schedule ??= new PermitSchedule({ perSecond: ownPerSecond, firstAtMs });
-    limited.schedule.setRate(ownPerSecond, nowMs);
-    return limited.schedule.acquire({ nowMs, maximumWaitMs });
+  /** Records a limit that a process observed. */
+  observe(endpoint: string, limit: RateLimit): void {
+    this.use(endpoint).observed.observe(limit);
   }
 
-  private observeIn(endpoint: string, limit: RateLimit): LimitedEndpoint {
-    const limited = this.endpoints.get(endpoint) ?? {
-      observed: new ObservedRateLimit(),
-      schedule: undefined,
-    };
-    limited.observed.observe(limit);
-    this.endpoints.delete(endpoint);
-    this.endpoints.set(endpoint, limited);
-    const [oldest] = this.endpoints.keys();
-    if (this.endpoints.size > MAXIMUM_ENDPOINTS && oldest !== undefined) {
-      this.endpoints.delete(oldest);
-    }
-    return limited;
+  private use(endpoint: string): OwnedRateLimit {
+    const owned = this.limits.get(endpoint) ?? new OwnedRateLimit();
+    this.limits.delete(endpoint);
+    this.limits.set(endpoint, owned);
+    const [oldest] = this.limits.keys();
+    if (this.limits.size > MAXIMUM_ENDPOINTS && oldest !== undefined) this.limits.delete(oldest);
+    return owned;
   }
 }
