Metrics: the counter of requests under a limit ends with the limit

Its label is the endpoint, and every limited endpoint left a series behind for the life of the entry.

--- a/packages/gateway/src/rateLimits.ts
+++ b/packages/gateway/src/rateLimits.ts
@@ -23,6 +23,9 @@
   metrics: Metrics;
 }
 
+/** Counter of the requests to each endpoint that has a limit. */
+const SENDS_COUNTER = 'rate_limited_sends_total';
+
 const UNLIMITED: Permit = { outcome: 'granted', waitMs: 0, limit: undefined };
 
 /** Tracks the rate limits that endpoints state in their answers, and acquires permits under them. */
@@ -70,7 +73,7 @@
     const limit = this.find(endpoint);
     if (limit?.perSecond === undefined) return;
     limit.recordSend(isRepeat);
-    this.options.metrics.count('rate_limited_sends_total', { endpoint: endpoint.id });
+    this.options.metrics.count(SENDS_COUNTER, { endpoint: endpoint.id });
   }
 
   /** Records the limit in an answer to a request that was sent at `sentAtMs`. */
@@ -109,10 +112,15 @@
     this.tracked.delete(id);
     this.tracked.set(id, limit);
     const [oldest] = this.tracked.keys();
-    if (this.tracked.size > MAXIMUM_ENDPOINTS && oldest !== undefined) this.tracked.delete(oldest);
+    if (this.tracked.size > MAXIMUM_ENDPOINTS && oldest !== undefined) this.forget(oldest);
     return limit;
   }
 
+  private forget(id: string): void {
+    this.tracked.delete(id);
+    this.options.metrics.removeCount(SENDS_COUNTER, { endpoint: id });
+  }
+
   private logInvalid({ id, service }: Endpoint, limit: TrackedRateLimit): void {
     if (!limit.recordInvalid()) return;
     this.options.log.write('rateLimitInvalid', { endpoint: id, service });
@@ -124,9 +132,11 @@
     limit: TrackedRateLimit,
     previousPerSecond: number | undefined,
   ): void {
-    const { clock, log } = this.options;
+    const { clock, log, metrics } = this.options;
     const usage = limit.takeUsage(clock.now());
-    log.write(limit.perSecond === undefined ? 'rateLimitEnded' : 'rateLimitChanged', {
+    const hasEnded = limit.perSecond === undefined;
+    if (hasEnded) metrics.removeCount(SENDS_COUNTER, { endpoint: id });
+    log.write(hasEnded ? 'rateLimitEnded' : 'rateLimitChanged', {
       endpoint: id,
       service,
       perSecond: limit.perSecond,
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -27,6 +27,12 @@
     counter.inc(labels, amount);
   }
 
+  /** Removes the value of a counter for one set of labels, so that labels of things that are gone don't
+   * accumulate. */
+  removeCount(name: string, labels: Labels): void {
+    this.counters.get(name)?.remove(labels);
+  }
+
   /** Adds a gauge; `read` returns its value at each scrape. */
   gauge(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
