Endpoint crashes: one log line with the inputs that each interrupted

An entry now tells a crash from an interrupted call: the endpoint refuses a probe's connection, or its registration lapses. Event 810 lists the digests of the interrupted inputs; the counter endpoint_crashes_total counts crashes by service. No decision depends on it yet.

--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -3,6 +3,7 @@
 import type { CallerLimits, Route } from '@marjorampin/routing';
 import type { CallTrace } from './callTrace';
 import type { CallHeaders } from './headerCodec';
+import type { CallInput } from './callInput';
 
 /** A caller's call while it is handled. */
 export interface CallerRequest {
@@ -11,6 +12,7 @@
   route: Route;
   callHeaders: CallHeaders;
   body: Buffer;
+  input: CallInput;
   trace: CallTrace;
   /** Clock time by which the caller must be answered, in milliseconds. */
   deadlineMs: number;
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -11,6 +11,7 @@
 import type { HeaderCodec } from './headerCodec';
 import { AttemptHistory } from './attemptHistory';
 import type { EndpointChoice } from './endpointChoice';
+import type { EndpointCrashes } from './endpointCrashes';
 import { type EndpointAnswer, exchangeWithEndpoint } from './endpointExchange';
 import type { RateLimits } from './rateLimits';
 
@@ -20,6 +21,7 @@
 /** Options of `EndpointAttempts`. */
 export interface EndpointAttemptsOptions {
   choice: EndpointChoice;
+  crashes: EndpointCrashes;
   rateLimits: RateLimits;
   headerCodec: HeaderCodec;
   clock: Clock;
@@ -183,8 +185,8 @@
     endpoint: Endpoint,
     handleAnswer: AnswerHandler<T>,
   ): Promise<T> {
-    const { choice, rateLimits, headerCodec, clock, log, metrics } = this.options;
-    const { message, route, callHeaders, signal, trace } = request;
+    const { choice, crashes, rateLimits, headerCodec, clock, log, metrics } = this.options;
+    const { message, route, callHeaders, input, signal, trace } = request;
     const leftMs = remainingMs(request, clock);
     const headers = headerCodec.writeCall(message.rawHeaders, {
       endpoint,
@@ -220,6 +222,9 @@
     } catch (error) {
       const failure = toCallError(error);
       if (failure.kind === 'endpoint-failed') choice.recordFailure(endpoint);
+      if (mayHaveCrashed(failure) && !signal.aborted) {
+        crashes.record(endpoint, { digest: input.digest, route: route.name });
+      }
       if (!signal.aborted) {
         log.write('sendFailed', {
           request: callHeaders.requestId,
@@ -240,6 +245,11 @@
   }
 }
 
+/** Returns whether a failure may be the effect of a crash of the endpoint. */
+function mayHaveCrashed({ kind, execution }: CallError): boolean {
+  return kind === 'endpoint-failed' && execution === 'unknown';
+}
+
 /** Throws if the answer must not be passed on to the caller. */
 function checkAnswer({ status, parsedHeaders, body }: EndpointAnswer, endpoint: Endpoint): void {
   if (parsedHeaders.isNotRun) {
--- /dev/null
+++ b/packages/gateway/src/endpointCrashes.ts
@@ -0,0 +1,132 @@
+import { type Clock, type Endpoint, parsePeerAddress } from '@marjorampin/types';
+import { probeConnection } from './connectionProbe';
+
+/** Time within which an endpoint has to accept the connection of a probe. */
+const PROBE_TIMEOUT_MS = 400;
+/** Time for which interrupted calls are attributed to a crash that is noticed later, when the
+ * registration of the endpoint lapses. */
+const ATTRIBUTION_MS = 5_000;
+/** Maximum number of calls that are attributed to one crash, above the batch of any endpoint. */
+const MAXIMUM_CALLS = 256;
+
+/** A call that was interrupted while an endpoint may have been running it. */
+export interface InterruptedCall {
+  /** Digest of the caller's input. */
+  digest: string;
+  route: string;
+}
+
+/** Crash of one incarnation of an endpoint. */
+export interface EndpointCrash {
+  endpoint: Endpoint;
+  /** Calls of this process that the crash interrupted, at most one for each digest. */
+  calls: InterruptedCall[];
+  /** Whether the crash was reported before, with fewer calls. */
+  isKnown: boolean;
+}
+
+/** Options of `EndpointCrashes`. */
+export interface EndpointCrashesOptions {
+  clock: Clock;
+  /** Is called at a crash, and again if more calls turn out to be interrupted by it. */
+  onCrash(crash: EndpointCrash): void;
+}
+
+/** Calls that an endpoint interrupted within a short time. */
+class Interruption {
+  readonly sinceMs: number;
+
+  private endpoint: Endpoint;
+
+  private readonly calls = new Map<string, InterruptedCall>();
+
+  private isCrash = false;
+
+  private probeInProgress: Promise<void> | undefined;
+
+  private readonly onCrash: EndpointCrashesOptions['onCrash'];
+
+  constructor(endpoint: Endpoint, { clock, onCrash }: EndpointCrashesOptions) {
+    this.endpoint = endpoint;
+    this.sinceMs = clock.now();
+    this.onCrash = onCrash;
+  }
+
+  /** Adds a call; resolves once the endpoint was probed. */
+  async add(call: InterruptedCall): Promise<void> {
+    if (this.calls.size < MAXIMUM_CALLS) this.calls.set(call.digest, call);
+    if (this.isCrash) {
+      this.report(true);
+      return;
+    }
+    this.probeInProgress ??= this.probe();
+    await this.probeInProgress;
+  }
+
+  /** Compares the endpoint with its registration, undefined if that has lapsed or changed. */
+  compare(registered: Endpoint | undefined): void {
+    if (registered) this.endpoint = registered;
+    else if (this.endpoint.state !== 'leaving') this.confirm();
+  }
+
+  private async probe(): Promise<void> {
+    const address = parsePeerAddress(this.endpoint.address);
+    const result = address && (await probeConnection(address, PROBE_TIMEOUT_MS));
+    this.probeInProgress = undefined;
+    if (result === 'refused') this.confirm();
+  }
+
+  private confirm(): void {
+    if (this.isCrash) return;
+    this.isCrash = true;
+    this.report(false);
+  }
+
+  private report(isKnown: boolean): void {
+    this.onCrash({ endpoint: this.endpoint, calls: [...this.calls.values()], isKnown });
+  }
+}
+
+/**
+ * Tells crashes of endpoints from interrupted calls: an endpoint has crashed if it then refuses
+ * connections, or if its registration lapses or changes although it was not leaving. An endpoint that
+ * resets a connection and goes on has not crashed.
+ */
+export class EndpointCrashes {
+  private readonly options: EndpointCrashesOptions;
+
+  /** By incarnation of an endpoint. */
+  private readonly interruptions = new Map<string, Interruption>();
+
+  constructor(options: EndpointCrashesOptions) {
+    this.options = options;
+  }
+
+  /** Records an interrupted call; resolves once the endpoint was probed. */
+  async record(endpoint: Endpoint, call: InterruptedCall): Promise<void> {
+    const key = keyOf(endpoint);
+    const known = this.interruptions.get(key);
+    const interruption =
+      known && this.isRecent(known) ? known : new Interruption(endpoint, this.options);
+    this.interruptions.set(key, interruption);
+    await interruption.add(call);
+  }
+
+  /** Compares the registered endpoints with those that interrupted calls before. */
+  updateEndpoints(endpoints: Endpoint[]): void {
+    if (this.interruptions.size === 0) return;
+    const registered = new Map(endpoints.map((endpoint) => [keyOf(endpoint), endpoint]));
+    [...this.interruptions].forEach(([key, interruption]) => {
+      if (this.isRecent(interruption)) interruption.compare(registered.get(key));
+      else this.interruptions.delete(key);
+    });
+  }
+
+  private isRecent({ sinceMs }: Interruption): boolean {
+    return this.options.clock.now() - sinceMs <= ATTRIBUTION_MS;
+  }
+}
+
+function keyOf({ id, incarnation }: Endpoint): string {
+  return `${id} ${incarnation}`;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,11 +16,13 @@
 import { CallForwarder } from './callForwarder';
 import { type CallerRequest, readCallerBody } from './callerRequest';
 import { CallerServer } from './callerServer';
+import { CallInput } from './callInput';
 import { CallTrace } from './callTrace';
 import { trackCaller } from './callerSignal';
 import type { HeaderCodec } from './headerCodec';
 import { EndpointAttempts } from './endpointAttempts';
 import { EndpointChoice } from './endpointChoice';
+import { type EndpointCrash, EndpointCrashes } from './endpointCrashes';
 import {
   invalidTarget,
   deadlinePassed,
@@ -39,6 +41,9 @@
  * in a newer one. */
 const MAXIMUM_STALENESS_MS = 2_000;
 
+/** Number of interrupted inputs that the log line of a crash lists. */
+const LOGGED_INPUTS = 16;
+
 /** Options of `Gateway`. */
 export interface GatewayOptions {
   /** Address to listen on for callers. */
@@ -71,6 +76,8 @@
 
   private readonly choice: EndpointChoice;
 
+  private readonly crashes: EndpointCrashes;
+
   private readonly calls: CallForwarder;
 
   private readonly turns: TurnForwarder;
@@ -96,8 +103,10 @@
     const rateLimits = new RateLimits({ permits, clock, log, metrics });
     this.choice = new EndpointChoice({ clock, domain, rateLimits });
     const { stalenessMs } = options;
+    this.crashes = new EndpointCrashes({ clock, onCrash: (crash) => this.recordCrash(crash) });
     const attempts = new EndpointAttempts({
       choice: this.choice,
+      crashes: this.crashes,
       rateLimits,
       headerCodec,
       clock,
@@ -142,6 +151,7 @@
   /** Replaces the list of endpoints that calls may be sent to. */
   updateEndpoints(endpoints: Endpoint[]): void {
     this.choice.directory.update(endpoints);
+    this.crashes.updateEndpoints(endpoints);
   }
 
   /** Whether this entry should receive new connections, as its readiness probes report. */
@@ -224,7 +234,8 @@
     if (!target.startsWith('/')) throw invalidTarget(target);
     const callHeaders = headerCodec.readCall(message.rawHeaders);
     trace.setProgram(callHeaders.program?.id);
-    const route = table.match(headerValue(message.rawHeaders, 'host') ?? '', target);
+    const host = headerValue(message.rawHeaders, 'host') ?? '';
+    const route = table.match(host, target);
     if (!route) throw this.unmatchedTarget(target);
     const callTimeoutMs = Math.min(callHeaders.deadlineMs ?? Infinity, route.timeoutMs);
     const caller = trackCaller(response, callTimeoutMs);
@@ -238,6 +249,7 @@
         route,
         callHeaders,
         body,
+        input: new CallInput({ host, method: message.method ?? 'GET', target, body }),
         trace,
         deadlineMs,
         signal,
@@ -264,6 +276,21 @@
     await this.calls.forward(request);
   }
 
+  private recordCrash({ endpoint, calls, isKnown }: EndpointCrash): void {
+    if (isKnown) return;
+    const { log, metrics } = this.options;
+    metrics.count('endpoint_crashes_total', { service: endpoint.service });
+    log.write('endpointCrashed', {
+      endpoint: endpoint.id,
+      service: endpoint.service,
+      calls: calls.length,
+      inputs: calls
+        .slice(0, LOGGED_INPUTS)
+        .map(({ digest }) => digest)
+        .join(' '),
+    });
+  }
+
   private unmatchedTarget(target: string): CallError {
     if (this.options.stalenessMs() > MAXIMUM_STALENESS_MS) return notConfigured();
     return unknownRoute(target);
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -291,6 +291,13 @@
       'an endpoint stated a limit that is no decimal number; the previous one stays in effect',
     remedy: 'Correct the limit that the endpoint sends.',
   },
+  endpointCrashed: {
+    number: 810,
+    level: 'warn',
+    message: 'an endpoint crashed and interrupted calls',
+    remedy:
+      'Compare the `inputs` of several crashes: one that they have in common is probably the cause.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
