Quarantine: an input that crashes endpoint after endpoint is refused by the whole fleet

Cause: each call was judged by itself; no process remembered which inputs a crash had interrupted, and none could know what the others saw. Change: entries record crashes with the digests of the interrupted inputs in one value of the platform's store, and follow it. An answer clears an input. The input that was in more crashes than any other suspect of these waits 10 s after its second crash and is refused for good after the third; other suspects run apart from each other.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -14,6 +14,7 @@
 import type { EndpointCrashes } from './endpointCrashes';
 import { type EndpointAnswer, exchangeWithEndpoint } from './endpointExchange';
 import type { RateLimits } from './rateLimits';
+import type { SuspectCalls } from './suspectCalls';
 
 /** Statuses from which callers conclude that their call did not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -22,6 +23,7 @@
 export interface EndpointAttemptsOptions {
   choice: EndpointChoice;
   crashes: EndpointCrashes;
+  suspects: SuspectCalls;
   rateLimits: RateLimits;
   headerCodec: HeaderCodec;
   clock: Clock;
@@ -78,12 +80,15 @@
         return await this.send(request, sent, endpoint, handleAnswer);
       } catch (error) {
         const failure = toCallError(error);
+        const isProbed = this.recordInterruption(request, endpoint, failure);
         history.record(failure);
         const isBegun = request.response.headersSent && !route.isResumable;
         const isFinal = request.signal.aborted || isBegun;
         if (isFinal || !history.allowsRepeat(failure)) {
           throw history.outcomeOf(this.withRetryDelay(failure, request, outgoing));
         }
+        // The next attempt depends on whether this one crashed its endpoint.
+        await isProbed;
         this.options.metrics.count('endpoint_retries_total', { service: outgoing.service });
       }
     }
@@ -107,14 +112,43 @@
     history: AttemptHistory,
   ): Promise<Endpoint> {
     const { triedIds } = history;
+    const { choice, suspects } = this.options;
     while (true) {
-      const endpoint = this.options.choice.choose({ ...outgoing, triedIds });
+      suspects.refuseQuarantined(request.input, history.execution);
+      const isSuspected = suspects.isSuspected(request.input);
+      if (isSuspected) this.refuseUnsafe(request, outgoing, history);
+      const isAvoided = isSuspected ? (id: string) => suspects.isBusy(id) : undefined;
+      const endpoint = choice.choose({ ...outgoing, triedIds, isAvoided });
       if (!endpoint) throw history.outcomeOf(this.noEndpoint(request, outgoing, triedIds.size));
       triedIds.add(endpoint.id);
       if (await this.awaitPermit(request, endpoint)) return endpoint;
     }
   }
 
+  private refuseUnsafe(
+    request: CallerRequest,
+    { service }: SentCall,
+    history: AttemptHistory,
+  ): void {
+    const { choice, suspects, clock } = this.options;
+    try {
+      const leftMs = remainingMs(request, clock);
+      suspects.refuseUnsafe(request.input, leftMs, choice.countEndpoints(service));
+    } catch (error) {
+      throw history.outcomeOf(toCallError(error));
+    }
+  }
+
+  /** Reports an interrupted call; resolves once it is known whether its endpoint crashed. */
+  private async recordInterruption(
+    { input, route, signal }: CallerRequest,
+    endpoint: Endpoint,
+    failure: CallError,
+  ): Promise<void> {
+    if (signal.aborted || !mayHaveCrashed(failure)) return;
+    await this.options.crashes.record(endpoint, { digest: input.digest, route: route.name });
+  }
+
   /** Waits until the endpoint's rate limit allows the request; returns false if it should be sent to
    * another endpoint instead. */
   private async awaitPermit(request: CallerRequest, endpoint: Endpoint): Promise<boolean> {
@@ -185,7 +219,7 @@
     endpoint: Endpoint,
     handleAnswer: AnswerHandler<T>,
   ): Promise<T> {
-    const { choice, crashes, rateLimits, headerCodec, clock, log, metrics } = this.options;
+    const { choice, suspects, rateLimits, headerCodec, clock, log, metrics } = this.options;
     const { message, route, callHeaders, input, signal, trace } = request;
     const leftMs = remainingMs(request, clock);
     const headers = headerCodec.writeCall(message.rawHeaders, {
@@ -199,6 +233,7 @@
     const sentAtMs = clock.now();
     directory.callStarted(endpoint.id);
     rateLimits.recordSend(endpoint, trace.sendCount > 1);
+    const endTrial = suspects.isSuspected(input) ? suspects.begin(input, endpoint) : undefined;
     try {
       const answer = await exchangeWithEndpoint(
         {
@@ -218,13 +253,12 @@
       choice.recordAnswer(endpoint, answer.parsedHeaders, answer.status);
       rateLimits.recordAnswer(endpoint, answer, sentAtMs);
       checkAnswer(answer, endpoint);
-      return await handleAnswer(answer, endpoint);
+      const result = await handleAnswer(answer, endpoint);
+      suspects.recordAnswer(input);
+      return result;
     } catch (error) {
       const failure = toCallError(error);
       if (failure.kind === 'endpoint-failed') choice.recordFailure(endpoint);
-      if (mayHaveCrashed(failure) && !signal.aborted) {
-        crashes.record(endpoint, { digest: input.digest, route: route.name });
-      }
       if (!signal.aborted) {
         log.write('sendFailed', {
           request: callHeaders.requestId,
@@ -239,6 +273,7 @@
       }
       throw failure;
     } finally {
+      endTrial?.();
       directory.callFinished(endpoint.id);
       metrics.count('endpoint_answers_total', trace.answerLabels);
     }
--- a/packages/gateway/src/endpointChoice.ts
+++ b/packages/gateway/src/endpointChoice.ts
@@ -10,11 +10,14 @@
 import type { AnswerHeaders } from './headerCodec';
 import { hasIdleConnection } from './endpointExchange';
 import type { RateLimits } from './rateLimits';
+import type { EndpointCounts } from './suspectCalls';
 
 /** Load reports older than this are ignored, because most of the calls that they count have ended. */
 const MAXIMUM_LOAD_AGE_MS = 500;
 /** Time for which a failed endpoint gets no new calls; shorter than the restart of an endpoint. */
 const FAILURE_EXCLUSION_MS = 1_000;
+/** Time for which a crashed endpoint gets no new calls, unless it registers anew earlier. */
+const CRASH_EXCLUSION_MS = 3_000;
 /** Number of calls that are assumed to wait for a slot at an endpoint that refused a call as full. */
 const QUEUED_WHEN_FULL = 4;
 
@@ -29,6 +32,9 @@
   triedIds: Set<string>;
   /** Whether the call may be sent on an idle connection of an earlier call. */
   mayReuseConnection: boolean;
+  /** Returns whether an endpoint should be avoided; undefined for a call with the usual costs. Otherwise
+   * any other endpoint is chosen, so that such calls of all processes are spread. */
+  isAvoided?: ((endpointId: string) => boolean) | undefined;
 }
 
 /** Cost parameters for the choice between engines, in milliseconds. */
@@ -69,7 +75,8 @@
 
   /** Returns the endpoint with the lowest expected cost, or undefined when none is available. */
   choose(requirements: EndpointRequirements): Endpoint | undefined {
-    const { service, warmEndpoint, contextTokens, triedIds, mayReuseConnection } = requirements;
+    const { service, warmEndpoint, contextTokens, triedIds, mayReuseConnection, isAvoided } =
+      requirements;
     const views = this.directory
       .available(service)
       .filter(({ endpoint }) => !triedIds.has(endpoint.id))
@@ -79,6 +86,10 @@
       .map((view) => ({ view, order: this.random() }))
       .sort((a, b) => a.order - b.order)
       .map(({ view }) => view);
+    if (isAvoided) {
+      const preferred = shuffled.find(({ endpoint }) => !isAvoided(endpoint.id));
+      return (preferred ?? shuffled[0])?.endpoint;
+    }
     const request: ChoiceRequest = {
       warmEndpoint,
       contextTokens,
@@ -89,6 +100,13 @@
     return chooseEndpoint(shuffled, request, ENGINE_COSTS)?.endpoint;
   }
 
+  /** Returns the numbers of endpoints of a service. */
+  countEndpoints(service: string): EndpointCounts {
+    const views = this.directory.all().filter(({ endpoint }) => endpoint.service === service);
+    const available = views.filter((view) => this.directory.isUsable(view));
+    return { registered: views.length, available: available.length };
+  }
+
   /** Returns whether an endpoint may still get new calls. */
   isAvailable({ id, incarnation }: Endpoint): boolean {
     const view = this.directory.get(id);
@@ -126,6 +144,11 @@
     this.directory.exclude(endpoint.id, FAILURE_EXCLUSION_MS);
   }
 
+  /** Excludes an endpoint that crashed from new calls. */
+  recordCrash(endpoint: Endpoint): void {
+    this.directory.exclude(endpoint.id, CRASH_EXCLUSION_MS);
+  }
+
   /** Returns a view without an outdated load report and with the wait for a permit. */
   private currentView(view: EndpointView): EndpointView {
     const permitWaitMs = this.rateLimits.expectedWaitMs(view.endpoint);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
+import type { Quarantine } from '@marjorampin/quarantine';
 import type { RoutedConfiguration } from '@marjorampin/routing';
 import { RouteTable } from '@marjorampin/routing';
 import type { PermitClient, TurnStore } from '@marjorampin/turns';
@@ -35,6 +36,7 @@
 import { LoopLag } from './loopLag';
 import { RateLimits } from './rateLimits';
 import { headerBytes, headerValue } from './rawHeaders';
+import { SuspectCalls } from './suspectCalls';
 import { TurnForwarder } from './turnForwarder';
 
 /** If the configuration was not confirmed as current for longer than this, a missing route may exist
@@ -55,6 +57,7 @@
   headerCodec: HeaderCodec;
   turns: TurnStore;
   permits: PermitClient;
+  quarantine: Quarantine;
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
@@ -78,6 +81,8 @@
 
   private readonly crashes: EndpointCrashes;
 
+  private readonly suspects: SuspectCalls;
+
   private readonly calls: CallForwarder;
 
   private readonly turns: TurnForwarder;
@@ -98,15 +103,17 @@
 
   constructor(options: GatewayOptions) {
     this.options = options;
-    const { clock, domain, headerCodec, log, metrics, turns, permits } = options;
+    const { clock, domain, headerCodec, log, metrics, turns, permits, quarantine } = options;
     this.lag = new LoopLag({ clock });
     const rateLimits = new RateLimits({ permits, clock, log, metrics });
     this.choice = new EndpointChoice({ clock, domain, rateLimits });
     const { stalenessMs } = options;
+    this.suspects = new SuspectCalls({ quarantine });
     this.crashes = new EndpointCrashes({ clock, onCrash: (crash) => this.recordCrash(crash) });
     const attempts = new EndpointAttempts({
       choice: this.choice,
       crashes: this.crashes,
+      suspects: this.suspects,
       rateLimits,
       headerCodec,
       clock,
@@ -268,6 +275,8 @@
   private async forward(request: CallerRequest, table: RouteTable): Promise<void> {
     const { route, callHeaders } = request;
     const { program } = callHeaders;
+    // Before a turn reserves tokens.
+    this.suspects.refuseQuarantined(request.input, 'not-run');
     const isMetered = route.storesTurns || program?.tokenBudget !== undefined;
     if (route.kind === 'stream' && program && isMetered) {
       await this.turns.forward(request, program, (name) => table.service(name));
@@ -277,12 +286,19 @@
   }
 
   private recordCrash({ endpoint, calls, isKnown }: EndpointCrash): void {
+    const { log, metrics, quarantine } = this.options;
+    const { id, incarnation, service } = endpoint;
+    quarantine.reportCrash({
+      endpoint: `${id} ${incarnation}`,
+      service,
+      suspects: calls.map(({ digest, route }) => ({ digest, route })),
+    });
     if (isKnown) return;
-    const { log, metrics } = this.options;
-    metrics.count('endpoint_crashes_total', { service: endpoint.service });
+    this.choice.recordCrash(endpoint);
+    metrics.count('endpoint_crashes_total', { service });
     log.write('endpointCrashed', {
-      endpoint: endpoint.id,
-      service: endpoint.service,
+      endpoint: id,
+      service,
       calls: calls.length,
       inputs: calls
         .slice(0, LOGGED_INPUTS)
--- /dev/null
+++ b/packages/gateway/src/suspectCalls.ts
@@ -0,0 +1,102 @@
+import type { Quarantine } from '@marjorampin/quarantine';
+import { CallError, type Endpoint, type Execution } from '@marjorampin/types';
+import type { CallInput } from './callInput';
+
+/** Delay after which a caller should repeat a call that has to run apart from others. */
+const RETRY_AFTER_MS = 300;
+/** The same if no endpoint may be risked; most crashed endpoints return within a few seconds. */
+const LAST_ENDPOINT_RETRY_AFTER_MS = 2_000;
+/** Share of the remaining time that a caller may be told to wait, so that two attempts are left. */
+const MAXIMUM_DELAY_SHARE = 1 / 3;
+
+/** Numbers of endpoints of a service. */
+export interface EndpointCounts {
+  registered: number;
+  available: number;
+}
+
+/**
+ * Decides on calls whose inputs were interrupted by crashes. Answers inputs that crash each endpoint:
+ * suspected ones run apart from each other, so that the next crash shows which one is its cause.
+ */
+export class SuspectCalls {
+  private readonly quarantine: Quarantine;
+
+  /** Suspected inputs in progress, by endpoint id. */
+  private readonly running = new Map<string, Set<string>>();
+
+  constructor({ quarantine }: { quarantine: Quarantine }) {
+    this.quarantine = quarantine;
+  }
+
+  /** Throws `quarantined` if the input is not sent to endpoints any more. */
+  refuseQuarantined(input: CallInput, execution: Execution): void {
+    const { quarantined } = this.standingOf(input);
+    if (!quarantined) return;
+    const { digest, endpoints } = quarantined;
+    const message = `the input ${digest} is quarantined, as endpoints crashed under it (${endpoints.join(', ')}); don't repeat the call, and ask the operators to lift the quarantine once the service is fixed`;
+    throw new CallError({ kind: 'quarantined', message, execution });
+  }
+
+  /** Returns whether an input was interrupted by crashes and has not run to an answer since. */
+  isSuspected(input: CallInput): boolean {
+    return this.standingOf(input).crashes > 0;
+  }
+
+  /** Throws `overloaded` if a suspected input must not run now. */
+  refuseUnsafe(
+    input: CallInput,
+    remainingMs: number,
+    { registered, available }: EndpointCounts,
+  ): void {
+    const { delayMs } = this.standingOf(input);
+    if (delayMs > 0) {
+      throw delayed('endpoints crashed under the input, which is probably the cause', delayMs);
+    }
+    const isRunning = [...this.running.values()].some((inputs) => inputs.has(input.digest));
+    if (isRunning) {
+      throw delayed(
+        'the same input is being tried after a crash',
+        shareOf(remainingMs, RETRY_AFTER_MS),
+      );
+    }
+    if (available < 2 && registered > 1) {
+      const reason = 'the input was interrupted by a crash, and only one endpoint is left';
+      throw delayed(reason, shareOf(remainingMs, LAST_ENDPOINT_RETRY_AFTER_MS));
+    }
+  }
+
+  /** Returns whether an endpoint runs a suspected input of this process. */
+  isBusy(endpointId: string): boolean {
+    return this.running.has(endpointId);
+  }
+
+  /** Records that a suspected input is sent to an endpoint; the returned function records its end. */
+  begin({ digest }: CallInput, { id }: Endpoint): () => void {
+    const inputs = this.running.get(id) ?? new Set();
+    this.running.set(id, inputs.add(digest));
+    return () => {
+      inputs.delete(digest);
+      if (inputs.size === 0) this.running.delete(id);
+    };
+  }
+
+  /** Records that an input ran to an answer. */
+  recordAnswer(input: CallInput): void {
+    if (this.isSuspected(input)) this.quarantine.reportAnswer(input.digest);
+  }
+
+  private standingOf(input: CallInput) {
+    return this.quarantine.standingOf(() => input.digest);
+  }
+}
+
+function shareOf(remainingMs: number, delayMs: number): number {
+  return Math.min(delayMs, remainingMs * MAXIMUM_DELAY_SHARE);
+}
+
+function delayed(reason: string, delayMs: number): CallError {
+  const retryAfterMs = Math.round(delayMs);
+  const message = `${reason}; retry after ${retryAfterMs} ms`;
+  return new CallError({ kind: 'overloaded', message, retryAfterMs });
+}
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -298,6 +298,37 @@
     remedy:
       'Compare the `inputs` of several crashes: one that they have in common is probably the cause.',
   },
+  inputQuarantined: {
+    number: 811,
+    level: 'error',
+    message: 'an input crashed several endpoints and is not sent to endpoints any more',
+    remedy:
+      'Find the calls of `input` in event 810 and 802, fix the service, then lift the quarantine.',
+  },
+  quarantineLifted: {
+    number: 812,
+    level: 'info',
+    message: 'a quarantined input is sent to endpoints again',
+    remedy: 'None needed.',
+  },
+  suspicionCleared: {
+    number: 813,
+    level: 'info',
+    message: 'an input that was interrupted by crashes ran to an answer',
+    remedy: 'None needed.',
+  },
+  quarantineUnreadable: {
+    number: 814,
+    level: 'error',
+    message: 'the stored record of crashes and quarantined inputs is invalid',
+    remedy: 'Run the same version on all hosts; the copy that was read before stays in effect.',
+  },
+  quarantineNotWritten: {
+    number: 815,
+    level: 'warn',
+    message: 'a crash could not be recorded in the platform store and will be retried',
+    remedy: 'Check the platform store; until it replies, this process counts by itself.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- /dev/null
+++ b/packages/quarantine/src/__tests__/crashEvidence.test.ts
@@ -0,0 +1,226 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {
+  addCrash,
+  clearSuspect,
+  countCrashes,
+  EMPTY_RECORD,
+  liftInput,
+  primeSuspects,
+  type QuarantineRecord,
+} from '@marjorampin/quarantine';
+
+/** A step: a crash of the numbered endpoint with the inputs that it interrupted, one letter each, or an
+ * input that ran to an answer. */
+type Step = { crash: number; inputs: string } | { answered: string } | { lifted: string };
+
+const MINUTE_MS = 60_000;
+
+function play(steps: Step[], stepMs = 100): QuarantineRecord {
+  return steps.reduce<QuarantineRecord>((record, step, index) => {
+    const atMs = index * stepMs;
+    if ('answered' in step) return clearSuspect(record, step.answered, atMs);
+    if ('lifted' in step) return liftInput(record, step.lifted);
+    const suspects = [...step.inputs].map((digest) => ({ digest, route: 'r' }));
+    return addCrash(record, { endpoint: `e${step.crash}`, service: 's', atMs, suspects });
+  }, EMPTY_RECORD);
+}
+
+const CASES: {
+  name: string;
+  steps: Step[];
+  stepMs?: number;
+  /** Digests that are quarantined, prime suspects, and suspected at all. */
+  quarantined: string;
+  prime: string;
+  suspected: string;
+}[] = [
+  {
+    name: 'one crash makes all interrupted inputs suspects, but none the prime one',
+    steps: [{ crash: 1, inputs: 'gab' }],
+    quarantined: '',
+    prime: '',
+    suspected: 'abg',
+  },
+  {
+    name: 'the input that two crashes have in common is the prime suspect',
+    steps: [
+      { crash: 1, inputs: 'gab' },
+      { crash: 2, inputs: 'gcd' },
+    ],
+    quarantined: '',
+    prime: 'g',
+    suspected: 'abcdg',
+  },
+  {
+    name: 'two inputs that were in the same two crashes are equally suspected',
+    steps: [
+      { crash: 1, inputs: 'ga' },
+      { crash: 2, inputs: 'gab' },
+    ],
+    quarantined: '',
+    prime: '',
+    suspected: 'abg',
+  },
+  {
+    name: 'an answer clears an input, which leaves the other one as the prime suspect',
+    steps: [{ crash: 1, inputs: 'ga' }, { crash: 2, inputs: 'gab' }, { answered: 'a' }],
+    quarantined: '',
+    prime: 'g',
+    suspected: 'bg',
+  },
+  {
+    name: 'the input that three crashes have in common is quarantined and clears the others',
+    steps: [
+      { crash: 1, inputs: 'gab' },
+      { crash: 2, inputs: 'gc' },
+      { crash: 3, inputs: 'gde' },
+    ],
+    quarantined: 'g',
+    prime: '',
+    suspected: '',
+  },
+  {
+    name: 'an input that was in two of three crashes holds up the quarantine until it is answered',
+    steps: [
+      { crash: 1, inputs: 'gab' },
+      { crash: 2, inputs: 'ga' },
+      { crash: 3, inputs: 'gde' },
+    ],
+    quarantined: '',
+    prime: 'g',
+    suspected: 'abdeg',
+  },
+  {
+    name: 'the same, once it is answered',
+    steps: [
+      { crash: 1, inputs: 'gab' },
+      { crash: 2, inputs: 'ga' },
+      { crash: 3, inputs: 'gde' },
+      { answered: 'a' },
+    ],
+    quarantined: 'g',
+    prime: '',
+    suspected: '',
+  },
+  {
+    name: 'an innocent input in three crashes of two causes is not quarantined',
+    steps: [
+      { crash: 1, inputs: 'gi' },
+      { crash: 2, inputs: 'gi' },
+      { crash: 3, inputs: 'hi' },
+    ],
+    quarantined: '',
+    prime: 'i',
+    suspected: 'ghi',
+  },
+  {
+    name: 'the same, once the causes were in more crashes',
+    steps: [
+      { crash: 1, inputs: 'gi' },
+      { crash: 2, inputs: 'gi' },
+      { crash: 3, inputs: 'hi' },
+      { crash: 4, inputs: 'g' },
+      { crash: 5, inputs: 'g' },
+    ],
+    quarantined: 'g',
+    prime: '',
+    suspected: 'hi',
+  },
+  {
+    name: 'inputs that are together in each of many crashes are all quarantined',
+    steps: [1, 2, 3, 4, 5, 6].map((crash) => ({ crash, inputs: 'gh' })),
+    quarantined: 'g',
+    prime: '',
+    suspected: '',
+  },
+  {
+    name: 'reports of one crash from several processes count as one crash',
+    steps: [
+      { crash: 1, inputs: 'g' },
+      { crash: 1, inputs: 'ga' },
+      { crash: 1, inputs: 'gb' },
+    ],
+    quarantined: '',
+    prime: '',
+    suspected: 'abg',
+  },
+  {
+    name: 'a late report of an explained crash raises no suspicion',
+    steps: [
+      { crash: 1, inputs: 'g' },
+      { crash: 2, inputs: 'g' },
+      { crash: 3, inputs: 'g' },
+      { crash: 2, inputs: 'ab' },
+    ],
+    quarantined: 'g',
+    prime: '',
+    suspected: '',
+  },
+  {
+    name: 'crashes that are long ago are no evidence',
+    steps: [
+      { crash: 1, inputs: 'g' },
+      { crash: 2, inputs: 'g' },
+      { crash: 3, inputs: 'g' },
+    ],
+    stepMs: 6 * MINUTE_MS,
+    quarantined: '',
+    prime: 'g',
+    suspected: 'g',
+  },
+  {
+    name: 'a quarantine outlasts its evidence',
+    steps: [
+      { crash: 1, inputs: 'g' },
+      { crash: 2, inputs: 'g' },
+      { crash: 3, inputs: 'g' },
+      ...Array.from({ length: 100 }, (_, index) => ({ crash: 4 + index, inputs: '' })),
+    ],
+    stepMs: MINUTE_MS,
+    quarantined: 'g',
+    prime: '',
+    suspected: '',
+  },
+  {
+    name: 'a lifted input starts without suspicion',
+    steps: [
+      { crash: 1, inputs: 'g' },
+      { crash: 2, inputs: 'g' },
+      { crash: 3, inputs: 'g' },
+      { lifted: 'g' },
+      { crash: 4, inputs: 'g' },
+    ],
+    quarantined: '',
+    prime: '',
+    suspected: 'g',
+  },
+];
+
+CASES.forEach(({ name, steps, stepMs, ...expected }) => {
+  test(name, () => {
+    const record = play(steps, stepMs);
+    const actual = {
+      quarantined: record.inputs.map(({ digest }) => digest).join(''),
+      prime: [...primeSuspects(record).keys()].sort().join(''),
+      suspected: [...countCrashes(record).keys()].sort().join(''),
+    };
+    assert.deepEqual(actual, expected);
+  });
+});
+
+test('new inputs without end make the record grow without end', () => {
+  const suspects = (crash: number) =>
+    Array.from({ length: 500 }, (_, index) => ({ digest: `${crash}-${index}`, route: 'r' }));
+  const record = Array.from({ length: 500 }).reduce<QuarantineRecord>(
+    (current, _, crash) =>
+      addCrash(current, {
+        endpoint: `e${crash}`,
+        service: 's',
+        atMs: crash,
+        suspects: suspects(crash),
+      }),
+    EMPTY_RECORD,
+  );
+  assert.ok(JSON.stringify(record).length < 200_000);
+});
--- /dev/null
+++ b/packages/quarantine/src/crashEvidence.ts
@@ -0,0 +1,160 @@
+import type {
+  QuarantinedInput,
+  QuarantineRecord,
+  RecordedCrash,
+  Suspect,
+} from './quarantineRecord';
+
+/** Number of crashes after which a prime suspect is delayed. */
+const CRASHES_TO_DELAY = 2;
+/** Number of crashes after which an input is quarantined if no other one explains them. */
+const CRASHES_TO_QUARANTINE = 3;
+/** Number of crashes after which an input is quarantined even if others were in all of them. */
+const MAXIMUM_CRASHES = 6;
+
+/** Time for which a crash is evidence. */
+const EVIDENCE_MS = 10 * 60_000;
+/** Bounds of the record; together they keep it below the size limit of a stored value. */
+const MAXIMUM_RECORDED_CRASHES = 32;
+const MAXIMUM_SUSPECTS = 64;
+const MAXIMUM_INPUTS = 1_000;
+const MAXIMUM_ENDPOINTS_OF_INPUT = 8;
+
+/** A crash that one process noticed, with the inputs that it interrupted there. */
+export type NoticedCrash = Omit<RecordedCrash, 'isExplained'>;
+
+/**
+ * Adds a crash, or the inputs that another process lost in it. Answers inputs that come back to one
+ * process after another: each notices only the crashes of its own calls.
+ */
+export function addCrash(record: QuarantineRecord, crash: NoticedCrash): QuarantineRecord {
+  const known = record.crashes.find(({ endpoint }) => endpoint === crash.endpoint);
+  const merged: RecordedCrash = {
+    ...crash,
+    atMs: known?.atMs ?? crash.atMs,
+    suspects: mergeSuspects(known?.suspects ?? [], crash.suspects),
+    isExplained: known?.isExplained ?? false,
+  };
+  const others = record.crashes.filter(({ endpoint }) => endpoint !== crash.endpoint);
+  const recent = [...others, merged].filter(({ atMs }) => crash.atMs - atMs < EVIDENCE_MS);
+  return evaluate({ ...record, crashes: recent.slice(-MAXIMUM_RECORDED_CRASHES) }, crash.atMs);
+}
+
+/**
+ * Removes an input that ran to an answer from the suspects. Answers crashes that interrupt whole
+ * batches: all but one of the calls are innocent, and show it when they are sent again.
+ */
+export function clearSuspect(
+  record: QuarantineRecord,
+  digest: string,
+  nowMs: number,
+): QuarantineRecord {
+  return evaluate({ ...record, crashes: withoutSuspect(record.crashes, digest) }, nowMs);
+}
+
+/** Removes an input from the quarantine and from the suspects. */
+export function liftInput({ crashes, inputs }: QuarantineRecord, digest: string): QuarantineRecord {
+  return {
+    crashes: withoutSuspect(crashes, digest),
+    inputs: inputs.filter((input) => input.digest !== digest),
+  };
+}
+
+/** Returns the number of unexplained crashes of each suspected input, by digest. */
+export function countCrashes({ crashes }: QuarantineRecord): Map<string, number> {
+  const counts = new Map<string, number>();
+  crashes
+    .flatMap(({ suspects }) => suspects)
+    .forEach(({ digest }) => counts.set(digest, (counts.get(digest) ?? 0) + 1));
+  return counts;
+}
+
+/**
+ * Returns the crashes of the prime suspects, by digest: of the inputs that were in several crashes, and
+ * in more than any other suspect of these. Answers the repeats that follow a crash within a second: the
+ * probable cause waits, and the others run without it.
+ */
+export function primeSuspects(record: QuarantineRecord): Map<string, RecordedCrash[]> {
+  const counts = countCrashes(record);
+  const repeated = [...counts].filter(([, count]) => count >= CRASHES_TO_DELAY);
+  return new Map(
+    repeated.flatMap(([digest, count]) => {
+      const own = crashesOf(record, digest);
+      const others = own
+        .flatMap(({ suspects }) => suspects)
+        .filter((each) => each.digest !== digest);
+      const isPrime = others.every((other) => (counts.get(other.digest) ?? 0) < count);
+      return isPrime ? [[digest, own] as const] : [];
+    }),
+  );
+}
+
+/** Quarantines the inputs that the crashes prove to be their cause, one after another: each explains
+ * its crashes, which are no evidence against other inputs any more. */
+function evaluate(record: QuarantineRecord, nowMs: number): QuarantineRecord {
+  let current = explainKnown(record);
+  while (true) {
+    const cause = findCause(current);
+    if (!cause) return current;
+    const own = crashesOf(current, cause.digest);
+    const input: QuarantinedInput = {
+      ...cause,
+      service: own[0]?.service ?? '',
+      sinceMs: nowMs,
+      endpoints: own.map(({ endpoint }) => endpoint).slice(0, MAXIMUM_ENDPOINTS_OF_INPUT),
+    };
+    current = explainKnown({
+      ...current,
+      inputs: [...current.inputs, input].slice(-MAXIMUM_INPUTS),
+    });
+  }
+}
+
+function findCause(record: QuarantineRecord): Suspect | undefined {
+  const frequent = [...countCrashes(record)].filter(([, count]) => count >= CRASHES_TO_QUARANTINE);
+  const cause = frequent.find(([digest]) => isCause(digest, crashesOf(record, digest)));
+  const suspects = record.crashes.flatMap((crash) => crash.suspects);
+  return cause && suspects.find(({ digest }) => digest === cause[0]);
+}
+
+/** An input that was in nearly all of the crashes explains them just as well. */
+function isCause(digest: string, own: RecordedCrash[]): boolean {
+  if (own.length >= MAXIMUM_CRASHES) return true;
+  const counts = new Map<string, number>();
+  own
+    .flatMap(({ suspects }) => suspects)
+    .filter((suspect) => suspect.digest !== digest)
+    .forEach((other) => counts.set(other.digest, (counts.get(other.digest) ?? 0) + 1));
+  return Math.max(0, ...counts.values()) < own.length - 1;
+}
+
+/** Marks the crashes of quarantined inputs as explained. */
+function explainKnown({ crashes, inputs }: QuarantineRecord): QuarantineRecord {
+  const quarantined = new Set(inputs.map(({ digest }) => digest));
+  const marked = crashes.map((crash) => {
+    const isExplained =
+      crash.isExplained || crash.suspects.some(({ digest }) => quarantined.has(digest));
+    return isExplained ? { ...crash, isExplained, suspects: [] } : crash;
+  });
+  return { crashes: marked, inputs };
+}
+
+function crashesOf({ crashes }: QuarantineRecord, digest: string): RecordedCrash[] {
+  return crashes.filter((crash) => hasSuspect(crash, digest));
+}
+
+function withoutSuspect(crashes: RecordedCrash[], digest: string): RecordedCrash[] {
+  return crashes.map((crash) => ({
+    ...crash,
+    suspects: crash.suspects.filter((suspect) => suspect.digest !== digest),
+  }));
+}
+
+function hasSuspect({ suspects }: RecordedCrash, digest: string): boolean {
+  return suspects.some((suspect) => suspect.digest === digest);
+}
+
+function mergeSuspects(known: Suspect[], added: Suspect[]): Suspect[] {
+  const merged = new Map([...known, ...added].map((suspect) => [suspect.digest, suspect]));
+  return [...merged.values()].slice(0, MAXIMUM_SUSPECTS);
+}
--- /dev/null
+++ b/packages/quarantine/src/quarantine.ts
@@ -0,0 +1,243 @@
+import type { EventLog } from '@marjorampin/logging';
+import type { Metrics } from '@marjorampin/metrics';
+import type { KeyValueStore, StoredValue } from '@marjorampin/store';
+import type { Clock } from '@marjorampin/types';
+import {
+  addCrash,
+  clearSuspect,
+  countCrashes,
+  type NoticedCrash,
+  primeSuspects,
+} from './crashEvidence';
+import {
+  decodeRecord,
+  EMPTY_RECORD,
+  encodeRecord,
+  QUARANTINE_KEY,
+  type QuarantinedInput,
+  type QuarantineRecord,
+} from './quarantineRecord';
+
+/** Maximum wait of one watch of the record. */
+const WATCH_WAIT_MS = 30_000;
+/** Delay after a failed request to the store, doubled up to the maximum. */
+const MINIMUM_RETRY_MS = 50;
+const MAXIMUM_RETRY_MS = 5_000;
+/** Time after an answer to a suspected input in which others are collected into one write. */
+const COLLECTION_MS = 300;
+
+/** Time after a crash for which its prime suspect is not sent to another endpoint; longer than the
+ * restart of an endpoint, so that a suspect takes down one at a time. */
+const SUSPECT_DELAY_MS = 10_000;
+
+type Change = (record: QuarantineRecord) => QuarantineRecord;
+
+/** What is known of an input. */
+export interface InputStanding {
+  /** Number of unexplained crashes that interrupted it. */
+  crashes: number;
+  /** Time for which it must not be sent to an endpoint, as it probably caused the last crash. */
+  delayMs: number;
+  /** Defined if it is not sent to endpoints any more. */
+  quarantined: QuarantinedInput | undefined;
+}
+
+/** Options of `Quarantine`. */
+export interface QuarantineOptions {
+  store: KeyValueStore;
+  clock: Clock;
+  log: EventLog;
+  metrics: Metrics;
+  random?: () => number;
+}
+
+const CLEAR: InputStanding = { crashes: 0, delayMs: 0, quarantined: undefined };
+
+/**
+ * This process's copy of the record of crashes and quarantined inputs, which all processes share in the
+ * platform's store. Its own observations count at once, and are written as soon as the store replies.
+ */
+export class Quarantine {
+  private readonly options: QuarantineOptions;
+
+  private readonly random: () => number;
+
+  private readonly stopped = new AbortController();
+
+  private stored: { version: number; record: QuarantineRecord } = {
+    version: 0,
+    record: EMPTY_RECORD,
+  };
+
+  /** Changes that are not written yet. */
+  private pending: Change[] = [];
+
+  private current = EMPTY_RECORD;
+
+  private quarantined = new Map<string, QuarantinedInput>();
+
+  private suspected = new Map<string, number>();
+
+  /** Clock time until which prime suspects wait, by digest. */
+  private delayedUntilMs = new Map<string, number>();
+
+  /** Clock time at which this process learned of each crash, by endpoint; clocks of hosts differ. */
+  private learnedAtMs = new Map<string, number>();
+
+  private isWriting = false;
+
+  constructor(options: QuarantineOptions) {
+    this.options = options;
+    this.random = options.random ?? Math.random;
+    const { metrics } = options;
+    metrics.gauge('quarantined_inputs', 'inputs that are refused', () => this.quarantined.size);
+    metrics.gauge('suspected_inputs', 'inputs in unexplained crashes', () => this.suspected.size);
+  }
+
+  /** Returns what is known of an input; `digest` is called only if anything is known. */
+  standingOf(digest: () => string): InputStanding {
+    if (this.quarantined.size + this.suspected.size === 0) return CLEAR;
+    const key = digest();
+    return {
+      crashes: this.suspected.get(key) ?? 0,
+      delayMs: Math.max(0, (this.delayedUntilMs.get(key) ?? 0) - this.options.clock.now()),
+      quarantined: this.quarantined.get(key),
+    };
+  }
+
+  /** Records a crash that this process noticed. */
+  reportCrash(crash: Omit<NoticedCrash, 'atMs'>): void {
+    const noticed = { ...crash, atMs: this.options.clock.wallTime() };
+    this.change((record) => addCrash(record, noticed));
+    this.write();
+  }
+
+  /** Records that a suspected input ran to an answer. */
+  async reportAnswer(digest: string): Promise<void> {
+    const { clock, log } = this.options;
+    const nowMs = clock.wallTime();
+    log.write('suspicionCleared', { input: digest, crashes: this.suspected.get(digest) });
+    this.change((record) => clearSuspect(record, digest, nowMs));
+    await clock.sleep(COLLECTION_MS, this.stopped.signal).catch(() => undefined);
+    await this.write();
+  }
+
+  /** Replaces the copy of the record if a read value is newer. */
+  adopt({ value, version }: Pick<StoredValue, 'value' | 'version'>): void {
+    if (version <= this.stored.version) return;
+    const record = decodeRecord(value);
+    if (!record) this.options.log.write('quarantineUnreadable', { revision: version });
+    this.stored = { version, record: record ?? this.stored.record };
+    this.refresh();
+  }
+
+  /** Follows the record until `stop`. */
+  async follow(): Promise<void> {
+    const { store, clock } = this.options;
+    const { signal } = this.stopped;
+    let revision = 0;
+    let failures = 0;
+    while (!signal.aborted) {
+      const changes = await store.watch(QUARANTINE_KEY, revision, WATCH_WAIT_MS);
+      if (changes.ok) {
+        failures = 0;
+        revision = Math.max(revision, changes.val.revision);
+        changes.val.values.forEach((each) => this.adoptIfOwn(each));
+      } else {
+        failures += 1;
+        await clock.sleep(this.retryDelayMs(failures), signal).catch(() => undefined);
+      }
+    }
+  }
+
+  /** Stops following the record and writing to it. */
+  stop(): void {
+    this.stopped.abort();
+  }
+
+  private adoptIfOwn(stored: StoredValue): void {
+    if (stored.key === QUARANTINE_KEY) this.adopt(stored);
+  }
+
+  private change(change: Change): void {
+    this.pending.push(change);
+    this.refresh();
+  }
+
+  private refresh(): void {
+    this.current = this.pending.reduce((record, change) => change(record), this.stored.record);
+    const previous = this.quarantined;
+    this.quarantined = new Map(this.current.inputs.map((input) => [input.digest, input]));
+    this.suspected = countCrashes(this.current);
+    this.updateDelays();
+    this.logChanges(previous);
+  }
+
+  private updateDelays(): void {
+    const nowMs = this.options.clock.now();
+    this.learnedAtMs = new Map(
+      this.current.crashes.map(({ endpoint }) => [
+        endpoint,
+        this.learnedAtMs.get(endpoint) ?? nowMs,
+      ]),
+    );
+    this.delayedUntilMs = new Map(
+      [...primeSuspects(this.current)].map(([digest, crashes]) => {
+        const learnedMs = crashes.map(({ endpoint }) => this.learnedAtMs.get(endpoint) ?? nowMs);
+        return [digest, Math.max(...learnedMs) + SUSPECT_DELAY_MS];
+      }),
+    );
+  }
+
+  private logChanges(previous: Map<string, QuarantinedInput>): void {
+    const { log } = this.options;
+    this.quarantined.forEach(({ digest, route, service, endpoints, sinceMs }) => {
+      if (previous.has(digest)) return;
+      const fields = { input: digest, route, service, endpoints: endpoints.join(' '), sinceMs };
+      log.write('inputQuarantined', fields);
+    });
+    previous.forEach(({ digest, route }) => {
+      if (!this.quarantined.has(digest)) log.write('quarantineLifted', { input: digest, route });
+    });
+  }
+
+  /** Writes the pending changes; retries until the store has accepted them. */
+  private async write(): Promise<void> {
+    if (this.isWriting) return;
+    this.isWriting = true;
+    const { store, clock, log } = this.options;
+    const { signal } = this.stopped;
+    let failures = 0;
+    while (this.pending.length > 0 && !signal.aborted) {
+      const written = this.pending.length;
+      const value = encodeRecord(this.current);
+      const expectedVersion = this.stored.version;
+      const swap = await store.compareAndSwap({ key: QUARANTINE_KEY, value, expectedVersion });
+      if (swap.ok) {
+        this.pending = this.pending.slice(written);
+        this.adopt({ value, version: swap.val });
+        this.refresh();
+        failures = 0;
+      } else {
+        failures += 1;
+        if (swap.val.kind !== 'conflict' && failures === 1) {
+          log.write('quarantineNotWritten', { reason: swap.val.message });
+        }
+        await clock.sleep(this.retryDelayMs(failures), signal).catch(() => undefined);
+        await this.read();
+      }
+    }
+    this.isWriting = false;
+  }
+
+  private async read(): Promise<void> {
+    const read = await this.options.store.get(QUARANTINE_KEY);
+    if (read.ok && read.val) this.adopt(read.val);
+  }
+
+  /** Spreads the retries of processes that noticed the same crash. */
+  private retryDelayMs(failures: number): number {
+    const delayMs = Math.min(MAXIMUM_RETRY_MS, MINIMUM_RETRY_MS * 2 ** (failures - 1));
+    return delayMs * this.random();
+  }
+}
--- a/packages/types/src/callError.ts
+++ b/packages/types/src/callError.ts
@@ -13,6 +13,7 @@
  * - `voided`: the call was voided before the agent received it, and never runs.
  * - `leaving`: the process is shutting down.
  * - `outcome-unknown`: a call that runs at most once may have run.
+ * - `quarantined`: the call's input crashed several endpoints.
  * - `transcript-required`: the caller or owner must send the earlier turns again.
  * - `not-configured`: the process has no current configuration.
  */
@@ -45,6 +46,7 @@
   | 'cancelled'
   | 'outcome-unknown'
   | 'transcript-required'
+  | 'quarantined'
   | 'unknown-turn'
   | 'unknown-route'
   | 'keepers-unavailable'
@@ -82,6 +84,7 @@
   cancelled: 499,
   'outcome-unknown': 502,
   'transcript-required': 409,
+  quarantined: 503,
   'unknown-turn': 404,
   'unknown-route': 404,
   'keepers-unavailable': 503,
