Quarantine: inputs wait after their second crash; suspects are spread by rank; lifting

Change: every input waits 10 to 15 s after its second crash, each process until another time. Suspects are spread over the endpoints by their rank in the record, which all processes know, instead of at random. A crash that one entry noticed excludes the endpoint at all entries.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -115,10 +115,9 @@
     const { choice, suspects } = this.options;
     while (true) {
       suspects.refuseQuarantined(request.input, history.execution);
-      const isSuspected = suspects.isSuspected(request.input);
-      if (isSuspected) this.refuseUnsafe(request, outgoing, history);
-      const isAvoided = isSuspected ? (id: string) => suspects.isBusy(id) : undefined;
-      const endpoint = choice.choose({ ...outgoing, triedIds, isAvoided });
+      const suspectRank = suspects.rankOf(request.input);
+      if (suspectRank !== undefined) this.refuseUnsafe(request, outgoing, history);
+      const endpoint = choice.choose({ ...outgoing, triedIds, suspectRank });
       if (!endpoint) throw history.outcomeOf(this.noEndpoint(request, outgoing, triedIds.size));
       triedIds.add(endpoint.id);
       if (await this.awaitPermit(request, endpoint)) return endpoint;
@@ -233,7 +232,8 @@
     const sentAtMs = clock.now();
     directory.callStarted(endpoint.id);
     rateLimits.recordSend(endpoint, trace.sendCount > 1);
-    const endTrial = suspects.isSuspected(input) ? suspects.begin(input, endpoint) : undefined;
+    const isSuspected = suspects.rankOf(input) !== undefined;
+    const endTrial = isSuspected ? suspects.begin(input) : undefined;
     try {
       const answer = await exchangeWithEndpoint(
         {
--- a/packages/gateway/src/endpointChoice.ts
+++ b/packages/gateway/src/endpointChoice.ts
@@ -6,7 +6,7 @@
   type EndpointView,
   shortestWaitMs,
 } from '@marjorampin/routing';
-import type { Clock, Endpoint } from '@marjorampin/types';
+import { type Clock, type Endpoint, incarnationKey } from '@marjorampin/types';
 import type { AnswerHeaders } from './headerCodec';
 import { hasIdleConnection } from './endpointExchange';
 import type { RateLimits } from './rateLimits';
@@ -32,9 +32,8 @@
   triedIds: Set<string>;
   /** Whether the call may be sent on an idle connection of an earlier call. */
   mayReuseConnection: boolean;
-  /** Returns whether an endpoint should be avoided; undefined for a call with the usual costs. Otherwise
-   * any other endpoint is chosen, so that such calls of all processes are spread. */
-  isAvoided?: ((endpointId: string) => boolean) | undefined;
+  /** Position of a suspected input among all of them; undefined for any other. */
+  suspectRank?: number | undefined;
 }
 
 /** Cost parameters for the choice between engines, in milliseconds. */
@@ -75,21 +74,18 @@
 
   /** Returns the endpoint with the lowest expected cost, or undefined when none is available. */
   choose(requirements: EndpointRequirements): Endpoint | undefined {
-    const { service, warmEndpoint, contextTokens, triedIds, mayReuseConnection, isAvoided } =
+    const { service, warmEndpoint, contextTokens, triedIds, mayReuseConnection, suspectRank } =
       requirements;
     const views = this.directory
       .available(service)
       .filter(({ endpoint }) => !triedIds.has(endpoint.id))
       .map((view) => this.currentView(view));
+    if (suspectRank !== undefined) return endpointOfRank(views, suspectRank);
     // With equal costs, a fixed order would send the calls of all entries to the same endpoint.
     const shuffled = views
       .map((view) => ({ view, order: this.random() }))
       .sort((a, b) => a.order - b.order)
       .map(({ view }) => view);
-    if (isAvoided) {
-      const preferred = shuffled.find(({ endpoint }) => !isAvoided(endpoint.id));
-      return (preferred ?? shuffled[0])?.endpoint;
-    }
     const request: ChoiceRequest = {
       warmEndpoint,
       contextTokens,
@@ -144,9 +140,10 @@
     this.directory.exclude(endpoint.id, FAILURE_EXCLUSION_MS);
   }
 
-  /** Excludes an endpoint that crashed from new calls. */
-  recordCrash(endpoint: Endpoint): void {
-    this.directory.exclude(endpoint.id, CRASH_EXCLUSION_MS);
+  /** Excludes an endpoint that crashed from new calls; `key` names its incarnation. */
+  recordCrash(key: string): void {
+    const crashed = this.directory.all().find(({ endpoint }) => incarnationKey(endpoint) === key);
+    if (crashed) this.directory.exclude(crashed.endpoint.id, CRASH_EXCLUSION_MS);
   }
 
   /** Returns a view without an outdated load report and with the wait for a permit. */
@@ -160,6 +157,12 @@
   }
 }
 
+/** Spreads suspected inputs over the endpoints, in the same way in all processes. */
+function endpointOfRank(views: EndpointView[], rank: number): Endpoint | undefined {
+  const endpoints = views.map(({ endpoint }) => endpoint).sort((a, b) => (a.id < b.id ? -1 : 1));
+  return endpoints[rank % endpoints.length];
+}
+
 function idsWithIdleConnection(views: EndpointView[]): Set<string> {
   const endpoints = views.map(({ endpoint }) => endpoint);
   return new Set(endpoints.filter(hasIdleConnection).map(({ id }) => id));
--- a/packages/gateway/src/endpointCrashes.ts
+++ b/packages/gateway/src/endpointCrashes.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Endpoint, parsePeerAddress } from '@marjorampin/types';
+import { type Clock, type Endpoint, incarnationKey, parsePeerAddress } from '@marjorampin/types';
 import { probeConnection } from './connectionProbe';
 
 /** Time within which an endpoint has to accept the connection of a probe. */
@@ -104,7 +104,7 @@
 
   /** Records an interrupted call; resolves once the endpoint was probed. */
   async record(endpoint: Endpoint, call: InterruptedCall): Promise<void> {
-    const key = keyOf(endpoint);
+    const key = incarnationKey(endpoint);
     const known = this.interruptions.get(key);
     const interruption =
       known && this.isRecent(known) ? known : new Interruption(endpoint, this.options);
@@ -115,7 +115,7 @@
   /** Compares the registered endpoints with those that interrupted calls before. */
   updateEndpoints(endpoints: Endpoint[]): void {
     if (this.interruptions.size === 0) return;
-    const registered = new Map(endpoints.map((endpoint) => [keyOf(endpoint), endpoint]));
+    const registered = new Map(endpoints.map((endpoint) => [incarnationKey(endpoint), endpoint]));
     [...this.interruptions].forEach(([key, interruption]) => {
       if (this.isRecent(interruption)) interruption.compare(registered.get(key));
       else this.interruptions.delete(key);
@@ -126,7 +126,3 @@
     return this.options.clock.now() - sinceMs <= ATTRIBUTION_MS;
   }
 }
-
-function keyOf({ id, incarnation }: Endpoint): string {
-  return `${id} ${incarnation}`;
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
   type CallError,
   type Clock,
   type Endpoint,
+  incarnationKey,
   type PeerAddress,
   toCallError,
 } from '@marjorampin/types';
@@ -107,6 +108,7 @@
     this.lag = new LoopLag({ clock });
     const rateLimits = new RateLimits({ permits, clock, log, metrics });
     this.choice = new EndpointChoice({ clock, domain, rateLimits });
+    quarantine.onCrash((key) => this.choice.recordCrash(key));
     const { stalenessMs } = options;
     this.suspects = new SuspectCalls({ quarantine });
     this.crashes = new EndpointCrashes({ clock, onCrash: (crash) => this.recordCrash(crash) });
@@ -287,14 +289,13 @@
 
   private recordCrash({ endpoint, calls, isKnown }: EndpointCrash): void {
     const { log, metrics, quarantine } = this.options;
-    const { id, incarnation, service } = endpoint;
+    const { id, service } = endpoint;
     quarantine.reportCrash({
-      endpoint: `${id} ${incarnation}`,
+      endpoint: incarnationKey(endpoint),
       service,
       suspects: calls.map(({ digest, route }) => ({ digest, route })),
     });
     if (isKnown) return;
-    this.choice.recordCrash(endpoint);
     metrics.count('endpoint_crashes_total', { service });
     log.write('endpointCrashed', {
       endpoint: id,
--- a/packages/gateway/src/rateLimits.ts
+++ b/packages/gateway/src/rateLimits.ts
@@ -2,7 +2,7 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { RateLimit } from '@marjorampin/routing';
 import type { Permit, PermitClient } from '@marjorampin/turns';
-import type { Clock, Endpoint } from '@marjorampin/types';
+import { type Clock, type Endpoint, incarnationKey } from '@marjorampin/types';
 import type { EndpointAnswer } from './endpointExchange';
 import { TrackedRateLimit } from './trackedRateLimit';
 
@@ -47,7 +47,7 @@
   /** Returns the expected wait until an endpoint's limit allows another request. */
   expectedWaitMs(endpoint: Endpoint): number {
     const isLimited = this.find(endpoint)?.perSecond !== undefined;
-    return isLimited ? this.options.permits.expectedWaitMs(keyOf(endpoint)) : 0;
+    return isLimited ? this.options.permits.expectedWaitMs(incarnationKey(endpoint)) : 0;
   }
 
   /** Acquires the permit to send a request to an endpoint; at once if it has no limit. */
@@ -56,7 +56,7 @@
     const limit = this.find(endpoint);
     if (limit?.perSecond === undefined) return UNLIMITED;
     const permit = await permits.acquire({
-      endpoint: keyOf(endpoint),
+      endpoint: incarnationKey(endpoint),
       limit: limit.observed.current,
       maximumWaitMs,
     });
@@ -93,7 +93,7 @@
     }
     this.observe(endpoint, limit, { perSecond: undefined, observedAtMs: sentAtMs });
     const hasEnded = wasLimited && limit.perSecond === undefined;
-    if (hasEnded) this.options.permits.reportEnd(keyOf(endpoint), limit.observed.current);
+    if (hasEnded) this.options.permits.reportEnd(incarnationKey(endpoint), limit.observed.current);
   }
 
   private observe(endpoint: Endpoint, limit: TrackedRateLimit, observed: RateLimit): void {
@@ -145,11 +145,6 @@
   }
 }
 
-/** Returns the key under which the permits of an endpoint are granted. */
-function keyOf({ id, incarnation }: Endpoint): string {
-  return `${id} ${incarnation}`;
-}
-
 /** Returns whether an answer certainly comes from the endpoint that the request was sent to. */
 function isFromEndpoint({ status, parsedHeaders }: StatingAnswer): boolean {
   return parsedHeaders.isGenuine || (parsedHeaders.isNotRun && status !== MISDIRECTED_STATUS);
--- a/packages/gateway/src/suspectCalls.ts
+++ b/packages/gateway/src/suspectCalls.ts
@@ -1,5 +1,5 @@
 import type { Quarantine } from '@marjorampin/quarantine';
-import { CallError, type Endpoint, type Execution } from '@marjorampin/types';
+import { CallError, type Execution } from '@marjorampin/types';
 import type { CallInput } from './callInput';
 
 /** Delay after which a caller should repeat a call that has to run apart from others. */
@@ -22,8 +22,8 @@
 export class SuspectCalls {
   private readonly quarantine: Quarantine;
 
-  /** Suspected inputs in progress, by endpoint id. */
-  private readonly running = new Map<string, Set<string>>();
+  /** Suspected inputs in progress. */
+  private readonly running = new Set<string>();
 
   constructor({ quarantine }: { quarantine: Quarantine }) {
     this.quarantine = quarantine;
@@ -38,9 +38,10 @@
     throw new CallError({ kind: 'quarantined', message, execution });
   }
 
-  /** Returns whether an input was interrupted by crashes and has not run to an answer since. */
-  isSuspected(input: CallInput): boolean {
-    return this.standingOf(input).crashes > 0;
+  /** Returns the position of an input among the suspected ones; undefined if it is not suspected. */
+  rankOf(input: CallInput): number | undefined {
+    const { crashes, rank } = this.standingOf(input);
+    return crashes > 0 ? rank : undefined;
   }
 
   /** Throws `overloaded` if a suspected input must not run now. */
@@ -51,10 +52,9 @@
   ): void {
     const { delayMs } = this.standingOf(input);
     if (delayMs > 0) {
-      throw delayed('endpoints crashed under the input, which is probably the cause', delayMs);
+      throw delayed('the input was interrupted by several crashes', delayMs);
     }
-    const isRunning = [...this.running.values()].some((inputs) => inputs.has(input.digest));
-    if (isRunning) {
+    if (this.running.has(input.digest)) {
       throw delayed(
         'the same input is being tried after a crash',
         shareOf(remainingMs, RETRY_AFTER_MS),
@@ -66,24 +66,15 @@
     }
   }
 
-  /** Returns whether an endpoint runs a suspected input of this process. */
-  isBusy(endpointId: string): boolean {
-    return this.running.has(endpointId);
-  }
-
   /** Records that a suspected input is sent to an endpoint; the returned function records its end. */
-  begin({ digest }: CallInput, { id }: Endpoint): () => void {
-    const inputs = this.running.get(id) ?? new Set();
-    this.running.set(id, inputs.add(digest));
-    return () => {
-      inputs.delete(digest);
-      if (inputs.size === 0) this.running.delete(id);
-    };
+  begin({ digest }: CallInput): () => void {
+    this.running.add(digest);
+    return () => this.running.delete(digest);
   }
 
   /** Records that an input ran to an answer. */
   recordAnswer(input: CallInput): void {
-    if (this.isSuspected(input)) this.quarantine.reportAnswer(input.digest);
+    if (this.standingOf(input).crashes > 0) this.quarantine.reportAnswer(input.digest);
   }
 
   private standingOf(input: CallInput) {
--- a/packages/quarantine/src/crashEvidence.ts
+++ b/packages/quarantine/src/crashEvidence.ts
@@ -5,7 +5,7 @@
   Suspect,
 } from './quarantineRecord';
 
-/** Number of crashes after which a prime suspect is delayed. */
+/** Number of crashes after which an input is delayed. */
 const CRASHES_TO_DELAY = 2;
 /** Number of crashes after which an input is quarantined if no other one explains them. */
 const CRASHES_TO_QUARANTINE = 3;
@@ -70,23 +70,12 @@
 }
 
 /**
- * Returns the crashes of the prime suspects, by digest: of the inputs that were in several crashes, and
- * in more than any other suspect of these. Answers the repeats that follow a crash within a second: the
- * probable cause waits, and the others run without it.
+ * Returns the crashes of the inputs that were in several, by digest. Answers the repeats that follow a
+ * crash within a second: the probable cause waits, and the others run without it.
  */
-export function primeSuspects(record: QuarantineRecord): Map<string, RecordedCrash[]> {
-  const counts = countCrashes(record);
-  const repeated = [...counts].filter(([, count]) => count >= CRASHES_TO_DELAY);
-  return new Map(
-    repeated.flatMap(([digest, count]) => {
-      const own = crashesOf(record, digest);
-      const others = own
-        .flatMap(({ suspects }) => suspects)
-        .filter((each) => each.digest !== digest);
-      const isPrime = others.every((other) => (counts.get(other.digest) ?? 0) < count);
-      return isPrime ? [[digest, own] as const] : [];
-    }),
-  );
+export function repeatedSuspects(record: QuarantineRecord): Map<string, RecordedCrash[]> {
+  const repeated = [...countCrashes(record)].filter(([, count]) => count >= CRASHES_TO_DELAY);
+  return new Map(repeated.map(([digest]) => [digest, crashesOf(record, digest)]));
 }
 
 /** Quarantines the inputs that the crashes prove to be their cause, one after another: each explains
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -1,13 +1,14 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
-import type { KeyValueStore, StoredValue } from '@marjorampin/store';
-import type { Clock } from '@marjorampin/types';
+import type { KeyValueStore, StoredValue, StoreError } from '@marjorampin/store';
+import type { Clock, Result } from '@marjorampin/types';
 import {
   addCrash,
   clearSuspect,
   countCrashes,
+  liftInput,
   type NoticedCrash,
-  primeSuspects,
+  repeatedSuspects,
 } from './crashEvidence';
 import {
   decodeRecord,
@@ -26,9 +27,11 @@
 /** Time after an answer to a suspected input in which others are collected into one write. */
 const COLLECTION_MS = 300;
 
-/** Time after a crash for which its prime suspect is not sent to another endpoint; longer than the
- * restart of an endpoint, so that a suspect takes down one at a time. */
-const SUSPECT_DELAY_MS = 10_000;
+/** Time for which an input waits after its second crash and later ones; longer than the restart of an
+ * endpoint, so that an input takes down one at a time. */
+const MINIMUM_DELAY_MS = 10_000;
+/** Processes end the wait at different times, so that the next crash is known before another one does. */
+const DELAY_SPREAD_MS = 5_000;
 
 type Change = (record: QuarantineRecord) => QuarantineRecord;
 
@@ -36,8 +39,10 @@
 export interface InputStanding {
   /** Number of unexplained crashes that interrupted it. */
   crashes: number;
-  /** Time for which it must not be sent to an endpoint, as it probably caused the last crash. */
+  /** Time for which it must not be sent to an endpoint, as it was in several crashes. */
   delayMs: number;
+  /** Position among the suspected inputs, the same in all processes. */
+  rank: number;
   /** Defined if it is not sent to endpoints any more. */
   quarantined: QuarantinedInput | undefined;
 }
@@ -51,7 +56,7 @@
   random?: () => number;
 }
 
-const CLEAR: InputStanding = { crashes: 0, delayMs: 0, quarantined: undefined };
+const CLEAR: InputStanding = { crashes: 0, delayMs: 0, rank: 0, quarantined: undefined };
 
 /**
  * This process's copy of the record of crashes and quarantined inputs, which all processes share in the
@@ -78,7 +83,11 @@
 
   private suspected = new Map<string, number>();
 
-  /** Clock time until which prime suspects wait, by digest. */
+  private readonly delayMs: number;
+
+  private readonly crashListeners: ((endpoint: string) => void)[] = [];
+
+  /** Clock time until which inputs wait, by digest. */
   private delayedUntilMs = new Map<string, number>();
 
   /** Clock time at which this process learned of each crash, by endpoint; clocks of hosts differ. */
@@ -89,19 +98,29 @@
   constructor(options: QuarantineOptions) {
     this.options = options;
     this.random = options.random ?? Math.random;
+    this.delayMs = MINIMUM_DELAY_MS + DELAY_SPREAD_MS * this.random();
     const { metrics } = options;
     metrics.gauge('quarantined_inputs', 'inputs that are refused', () => this.quarantined.size);
     metrics.gauge('suspected_inputs', 'inputs in unexplained crashes', () => this.suspected.size);
   }
 
+  /** Adds a listener that is called once for each crash, with the incarnation of the endpoint. */
+  onCrash(listener: (endpoint: string) => void): void {
+    this.crashListeners.push(listener);
+  }
+
   /** Returns what is known of an input; `digest` is called only if anything is known. */
   standingOf(digest: () => string): InputStanding {
     if (this.quarantined.size + this.suspected.size === 0) return CLEAR;
     const key = digest();
+    const quarantined = this.quarantined.get(key);
+    const crashes = this.suspected.get(key) ?? 0;
+    if (crashes === 0) return { ...CLEAR, quarantined };
     return {
-      crashes: this.suspected.get(key) ?? 0,
+      crashes,
       delayMs: Math.max(0, (this.delayedUntilMs.get(key) ?? 0) - this.options.clock.now()),
-      quarantined: this.quarantined.get(key),
+      rank: [...this.suspected.keys()].filter((other) => other < key).length,
+      quarantined,
     };
   }
 
@@ -122,6 +141,24 @@
     await this.write();
   }
 
+  /** Sends an input to endpoints again; resolves once that is written. */
+  async lift(digest: string): Promise<void> {
+    this.change((record) => liftInput(record, digest));
+    await this.write();
+  }
+
+  /** Quarantined inputs, oldest first. */
+  get inputs(): QuarantinedInput[] {
+    return [...this.quarantined.values()];
+  }
+
+  /** Reads the record; returns the error if the store can't be read. */
+  async read(): Promise<Result<void, StoreError>> {
+    const read = await this.options.store.get(QUARANTINE_KEY);
+    if (read.ok && read.val) this.adopt(read.val);
+    return read.map(() => undefined);
+  }
+
   /** Replaces the copy of the record if a read value is newer. */
   adopt({ value, version }: Pick<StoredValue, 'value' | 'version'>): void {
     if (version <= this.stored.version) return;
@@ -175,18 +212,18 @@
 
   private updateDelays(): void {
     const nowMs = this.options.clock.now();
+    const endpoints = this.current.crashes.map(({ endpoint }) => endpoint);
+    const added = endpoints.filter((endpoint) => !this.learnedAtMs.has(endpoint));
     this.learnedAtMs = new Map(
-      this.current.crashes.map(({ endpoint }) => [
-        endpoint,
-        this.learnedAtMs.get(endpoint) ?? nowMs,
-      ]),
+      endpoints.map((endpoint) => [endpoint, this.learnedAtMs.get(endpoint) ?? nowMs]),
     );
     this.delayedUntilMs = new Map(
-      [...primeSuspects(this.current)].map(([digest, crashes]) => {
+      [...repeatedSuspects(this.current)].map(([digest, crashes]) => {
         const learnedMs = crashes.map(({ endpoint }) => this.learnedAtMs.get(endpoint) ?? nowMs);
-        return [digest, Math.max(...learnedMs) + SUSPECT_DELAY_MS];
+        return [digest, Math.max(...learnedMs) + this.delayMs];
       }),
     );
+    added.forEach((endpoint) => this.crashListeners.forEach((listener) => listener(endpoint)));
   }
 
   private logChanges(previous: Map<string, QuarantinedInput>): void {
@@ -230,11 +267,6 @@
     this.isWriting = false;
   }
 
-  private async read(): Promise<void> {
-    const read = await this.options.store.get(QUARANTINE_KEY);
-    if (read.ok && read.val) this.adopt(read.val);
-  }
-
   /** Spreads the retries of processes that noticed the same crash. */
   private retryDelayMs(failures: number): number {
     const delayMs = Math.min(MAXIMUM_RETRY_MS, MINIMUM_RETRY_MS * 2 ** (failures - 1));
--- a/packages/types/src/contract.ts
+++ b/packages/types/src/contract.ts
@@ -85,3 +85,8 @@
   domain: string;
   state: EndpointState;
 }
+
+/** Returns a key that differs for each incarnation of an endpoint. */
+export function incarnationKey({ id, incarnation }: Pick<Endpoint, 'id' | 'incarnation'>): string {
+  return `${id} ${incarnation}`;
+}
