--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -144,8 +144,16 @@
     endpoint: Endpoint,
     failure: CallError,
   ): Promise<void> {
-    if (signal.aborted || !mayHaveCrashed(failure)) return;
-    await this.options.crashes.record(endpoint, { digest: input.digest, route: route.name });
+    const { crashes } = this.options;
+    const call = () => ({ digest: input.digest, route: route.name });
+    const isEndpointFailure = failure.kind === 'endpoint-failed';
+    if (signal.aborted) {
+      if (failure.execution === 'unknown') crashes.recordAbandoned(endpoint, call());
+    } else if (isEndpointFailure && failure.execution === 'unknown') {
+      await crashes.record(endpoint, call());
+    } else if (isEndpointFailure) {
+      crashes.recordUnreachable(endpoint);
+    }
   }
 
   /** Waits until the endpoint's rate limit allows the request; returns false if it should be sent to
@@ -280,11 +288,6 @@
   }
 }
 
-/** Returns whether a failure may be the effect of a crash of the endpoint. */
-function mayHaveCrashed({ kind, execution }: CallError): boolean {
-  return kind === 'endpoint-failed' && execution === 'unknown';
-}
-
 /** Throws if the answer must not be passed on to the caller. */
 function checkAnswer({ status, parsedHeaders, body }: EndpointAnswer, endpoint: Endpoint): void {
   if (parsedHeaders.isNotRun) {
--- a/packages/gateway/src/endpointCrashes.ts
+++ b/packages/gateway/src/endpointCrashes.ts
@@ -52,13 +52,15 @@
     this.onCrash = onCrash;
   }
 
-  /** Adds a call; resolves once the endpoint was probed. */
-  async add(call: InterruptedCall): Promise<void> {
+  /** Adds a call. */
+  add(call: InterruptedCall): void {
     if (this.calls.size < MAXIMUM_CALLS) this.calls.set(call.digest, call);
-    if (this.isCrash) {
-      this.report(true);
-      return;
-    }
+    if (this.isCrash) this.report(true);
+  }
+
+  /** Resolves once it is known whether the endpoint accepts connections. */
+  async check(): Promise<void> {
+    if (this.isCrash) return;
     this.probeInProgress ??= this.probe();
     await this.probeInProgress;
   }
@@ -104,12 +106,20 @@
 
   /** Records an interrupted call; resolves once the endpoint was probed. */
   async record(endpoint: Endpoint, call: InterruptedCall): Promise<void> {
-    const key = incarnationKey(endpoint);
-    const known = this.interruptions.get(key);
-    const interruption =
-      known && this.isRecent(known) ? known : new Interruption(endpoint, this.options);
-    this.interruptions.set(key, interruption);
-    await interruption.add(call);
+    const interruption = this.interruptionOf(endpoint);
+    interruption.add(call);
+    await interruption.check();
+  }
+
+  /** Records a call that its caller gave up, and which the endpoint may still be running. */
+  recordAbandoned(endpoint: Endpoint, call: InterruptedCall): void {
+    this.interruptionOf(endpoint).add(call);
+  }
+
+  /** Records that an endpoint accepted no connection for a call. */
+  recordUnreachable(endpoint: Endpoint): void {
+    const known = this.interruptions.get(incarnationKey(endpoint));
+    if (known && this.isRecent(known)) known.check();
   }
 
   /** Compares the registered endpoints with those that interrupted calls before. */
@@ -122,6 +132,15 @@
     });
   }
 
+  private interruptionOf(endpoint: Endpoint): Interruption {
+    const key = incarnationKey(endpoint);
+    const known = this.interruptions.get(key);
+    if (known && this.isRecent(known)) return known;
+    const interruption = new Interruption(endpoint, this.options);
+    this.interruptions.set(key, interruption);
+    return interruption;
+  }
+
   private isRecent({ sinceMs }: Interruption): boolean {
     return this.options.clock.now() - sinceMs <= ATTRIBUTION_MS;
   }
