Quarantine: targets are suspected too, unless other calls with them are answered

Cause: the identity of an input was its whole body. Class: the same fault under another identity. Change: the target (host, method, path and query) of an interrupted call is suspected as well, if no entry has answered another call with it. An input that explains the crashes comes before its target.

--- a/packages/gateway/src/callInput.ts
+++ b/packages/gateway/src/callInput.ts
@@ -1,10 +1,12 @@
-import { inputDigest, type RequestInput } from '@marjorampin/quarantine';
+import { inputDigest, type RequestInput, targetDigest } from '@marjorampin/quarantine';
 
-/** The caller's input of a call; its digest is computed when it is first needed. */
+/** The caller's input of a call; its digests are computed when they are first needed. */
 export class CallInput {
   private readonly input: RequestInput;
 
-  private computed: string | undefined;
+  private computedDigest: string | undefined;
+
+  private computedTarget: string | undefined;
 
   constructor(input: RequestInput) {
     this.input = input;
@@ -12,7 +14,18 @@
 
   /** Digest by which repetitions of the call are recognized. */
   get digest(): string {
-    this.computed ??= inputDigest(this.input);
-    return this.computed;
+    this.computedDigest ??= inputDigest(this.input);
+    return this.computedDigest;
+  }
+
+  /** Digest by which repetitions with other bodies are recognized. */
+  get target(): string {
+    this.computedTarget ??= targetDigest(this.input);
+    return this.computedTarget;
+  }
+
+  /** Digests of the input and of its target. */
+  get digests(): string[] {
+    return [this.digest, this.target];
   }
 }
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -144,8 +144,8 @@
     endpoint: Endpoint,
     failure: CallError,
   ): Promise<void> {
-    const { crashes } = this.options;
-    const call = () => ({ digest: input.digest, route: route.name });
+    const { crashes, suspects } = this.options;
+    const call = () => suspects.suspectOf(input, route.name);
     const isEndpointFailure = failure.kind === 'endpoint-failed';
     if (signal.aborted) {
       if (failure.execution === 'unknown') crashes.recordAbandoned(endpoint, call());
--- a/packages/gateway/src/endpointCrashes.ts
+++ b/packages/gateway/src/endpointCrashes.ts
@@ -1,3 +1,4 @@
+import type { Suspect } from '@marjorampin/quarantine';
 import { type Clock, type Endpoint, incarnationKey, parsePeerAddress } from '@marjorampin/types';
 import { probeConnection } from './connectionProbe';
 
@@ -9,18 +10,11 @@
 /** Maximum number of calls that are attributed to one crash, above the batch of any endpoint. */
 const MAXIMUM_CALLS = 256;
 
-/** A call that was interrupted while an endpoint may have been running it. */
-export interface InterruptedCall {
-  /** Digest of the caller's input. */
-  digest: string;
-  route: string;
-}
-
 /** Crash of one incarnation of an endpoint. */
 export interface EndpointCrash {
   endpoint: Endpoint;
   /** Calls of this process that the crash interrupted, at most one for each digest. */
-  calls: InterruptedCall[];
+  calls: Suspect[];
   /** Whether the crash was reported before, with fewer calls. */
   isKnown: boolean;
 }
@@ -38,7 +32,7 @@
 
   private endpoint: Endpoint;
 
-  private readonly calls = new Map<string, InterruptedCall>();
+  private readonly calls = new Map<string, Suspect>();
 
   private isCrash = false;
 
@@ -53,7 +47,7 @@
   }
 
   /** Adds a call. */
-  add(call: InterruptedCall): void {
+  add(call: Suspect): void {
     if (this.calls.size < MAXIMUM_CALLS) this.calls.set(call.digest, call);
     if (this.isCrash) this.report(true);
   }
@@ -105,14 +99,14 @@
   }
 
   /** Records an interrupted call; resolves once the endpoint was probed. */
-  async record(endpoint: Endpoint, call: InterruptedCall): Promise<void> {
+  async record(endpoint: Endpoint, call: Suspect): Promise<void> {
     const interruption = this.interruptionOf(endpoint);
     interruption.add(call);
     await interruption.check();
   }
 
   /** Records a call that its caller gave up, and which the endpoint may still be running. */
-  recordAbandoned(endpoint: Endpoint, call: InterruptedCall): void {
+  recordAbandoned(endpoint: Endpoint, call: Suspect): void {
     this.interruptionOf(endpoint).add(call);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -293,7 +293,7 @@
     quarantine.reportCrash({
       endpoint: incarnationKey(endpoint),
       service,
-      suspects: calls.map(({ digest, route }) => ({ digest, route })),
+      suspects: calls,
     });
     if (isKnown) return;
     metrics.count('endpoint_crashes_total', { service });
--- a/packages/gateway/src/suspectCalls.ts
+++ b/packages/gateway/src/suspectCalls.ts
@@ -1,4 +1,4 @@
-import type { Quarantine } from '@marjorampin/quarantine';
+import type { Quarantine, Suspect } from '@marjorampin/quarantine';
 import { CallError, type Execution } from '@marjorampin/types';
 import type { CallInput } from './callInput';
 
@@ -9,6 +9,9 @@
 /** Share of the remaining time that a caller may be told to wait, so that two attempts are left. */
 const MAXIMUM_DELAY_SHARE = 1 / 3;
 
+/** Number of answered targets that are remembered. */
+const MAXIMUM_TARGETS = 10_000;
+
 /** Numbers of endpoints of a service. */
 export interface EndpointCounts {
   registered: number;
@@ -25,6 +28,9 @@
   /** Suspected inputs in progress. */
   private readonly running = new Set<string>();
 
+  /** Digests of the targets of answered calls, least recently used first. */
+  private readonly answeredTargets = new Set<string>();
+
   constructor({ quarantine }: { quarantine: Quarantine }) {
     this.quarantine = quarantine;
   }
@@ -74,11 +80,25 @@
 
   /** Records that an input ran to an answer. */
   recordAnswer(input: CallInput): void {
-    if (this.standingOf(input).crashes > 0) this.quarantine.reportAnswer(input.digest);
+    this.answeredTargets.delete(input.target);
+    this.answeredTargets.add(input.target);
+    const [oldest] = this.answeredTargets;
+    if (this.answeredTargets.size > MAXIMUM_TARGETS && oldest !== undefined) {
+      this.answeredTargets.delete(oldest);
+    }
+    if (this.standingOf(input).crashes > 0) this.quarantine.reportAnswer(input.digests);
+  }
+
+  /**
+   * Returns a call as a suspect of a crash. Its target is suspected only if no other call with it was
+   * answered: many targets, such as that of a model, are shared by innocent calls.
+   */
+  suspectOf({ digest, target }: CallInput, route: string): Suspect {
+    return this.answeredTargets.has(target) ? { digest, route } : { digest, target, route };
   }
 
   private standingOf(input: CallInput) {
-    return this.quarantine.standingOf(() => input.digest);
+    return this.quarantine.standingOf(() => input.digests);
   }
 }
 
--- a/packages/quarantine/src/__tests__/crashEvidence.test.ts
+++ b/packages/quarantine/src/__tests__/crashEvidence.test.ts
@@ -8,20 +8,28 @@
   liftInput,
   repeatedSuspects,
   type QuarantineRecord,
+  type Suspect,
 } from '@marjorampin/quarantine';
 
-/** A step: a crash of the numbered endpoint with the inputs that it interrupted, one letter each, or an
- * input that ran to an answer. */
+/** A step: a crash of the numbered endpoint with the inputs that it interrupted (`suspectsOf`), or inputs
+ * and targets of calls that ran to an answer. */
 type Step = { crash: number; inputs: string } | { answered: string } | { lifted: string };
 
 const MINUTE_MS = 60_000;
 
+/** Inputs of which each letter is one, or an input and its target, as in `a@T`. */
+function suspectsOf(text: string): Suspect[] {
+  const [digest = '', target] = text.split('@');
+  if (target !== undefined) return [{ digest, target, route: 'r' }];
+  return [...text].map((letter) => ({ digest: letter, route: 'r' }));
+}
+
 function play(steps: Step[], stepMs = 100): QuarantineRecord {
   return steps.reduce<QuarantineRecord>((record, step, index) => {
     const atMs = index * stepMs;
-    if ('answered' in step) return clearSuspect(record, step.answered, atMs);
+    if ('answered' in step) return clearSuspect(record, [...step.answered], atMs);
     if ('lifted' in step) return liftInput(record, step.lifted);
-    const suspects = [...step.inputs].map((digest) => ({ digest, route: 'r' }));
+    const suspects = step.inputs.split(' ').flatMap(suspectsOf);
     return addCrash(record, { endpoint: `e${step.crash}`, service: 's', atMs, suspects });
   }, EMPTY_RECORD);
 }
@@ -182,6 +190,53 @@
     repeated: '',
     suspected: '',
   },
+  {
+    name: 'the target that three crashes have in common is quarantined',
+    steps: [
+      { crash: 1, inputs: 'g@T a@U' },
+      { crash: 2, inputs: 'h@T b' },
+      { crash: 3, inputs: 'i@T c' },
+    ],
+    quarantined: 'T',
+    repeated: '',
+    suspected: '',
+  },
+  {
+    name: 'an input that three crashes have in common is quarantined rather than its target',
+    steps: [
+      { crash: 1, inputs: 'g@T a@T' },
+      { crash: 2, inputs: 'g@T b@T' },
+      { crash: 3, inputs: 'g@T c@T' },
+    ],
+    quarantined: 'g',
+    repeated: '',
+    suspected: '',
+  },
+  {
+    name: 'an answer clears the target of other inputs, but not these inputs',
+    steps: [
+      { crash: 1, inputs: 'g@T a' },
+      { crash: 2, inputs: 'h@T b' },
+      { answered: 'xT' },
+      { crash: 3, inputs: 'i@T c' },
+    ],
+    quarantined: '',
+    repeated: '',
+    suspected: 'Tabcghi',
+  },
+  {
+    name: 'a target that one process saw answered counts for none',
+    steps: [
+      { crash: 1, inputs: 'g@T' },
+      { crash: 1, inputs: 'g' },
+      { crash: 2, inputs: 'h' },
+      { crash: 2, inputs: 'h@T' },
+      { crash: 3, inputs: 'i@T' },
+    ],
+    quarantined: '',
+    repeated: '',
+    suspected: 'Tghi',
+  },
   {
     name: 'a lifted input starts without suspicion',
     steps: [
--- a/packages/quarantine/src/__tests__/inputDigest.test.ts
+++ b/packages/quarantine/src/__tests__/inputDigest.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import { inputDigest, type RequestInput } from '@marjorampin/quarantine';
+import { inputDigest, type RequestInput, targetDigest } from '@marjorampin/quarantine';
 
 const INPUT: RequestInput = {
   host: 'app.example',
@@ -30,3 +30,9 @@
     assert.match(digest, /^[0-9a-f]{32}$/);
   });
 });
+
+test('a target has other digests for other bodies, or that of an input without a body', () => {
+  const other = { ...INPUT, body: Buffer.alloc(0) };
+  assert.equal(targetDigest(INPUT), targetDigest(other));
+  assert.notEqual(targetDigest(other), inputDigest(other));
+});
--- a/packages/quarantine/src/__tests__/quarantine.test.ts
+++ b/packages/quarantine/src/__tests__/quarantine.test.ts
@@ -52,7 +52,7 @@
 
 /** Returns whether a process refuses an input. */
 function isRefused(process: Quarantine, digest = 'g'): boolean {
-  return process.standingOf(() => digest).quarantined !== undefined;
+  return process.standingOf(() => [digest]).quarantined !== undefined;
 }
 
 test('crashes that several processes notice are not counted together', async (context) => {
@@ -63,7 +63,7 @@
   await shared.pass(SECOND_MS);
   processes.forEach((process) => {
     assert.ok(isRefused(process));
-    assert.equal(process.standingOf(() => 'i0').crashes, 0);
+    assert.equal(process.standingOf(() => ['i0']).crashes, 0);
   });
   const late = shared.start();
   await shared.pass(SECOND_MS);
@@ -113,11 +113,11 @@
   const [first, second] = [shared.start(), shared.start()];
   crash(first, 'e1', ['g', 'i']);
   await shared.pass(SECOND_MS);
-  assert.equal(second.standingOf(() => 'i').crashes, 1);
-  second.reportAnswer('i');
+  assert.equal(second.standingOf(() => ['i']).crashes, 1);
+  second.reportAnswer(['i']);
   await shared.pass(SECOND_MS);
-  assert.equal(first.standingOf(() => 'i').crashes, 0);
-  assert.equal(first.standingOf(() => 'g').crashes, 1);
+  assert.equal(first.standingOf(() => ['i']).crashes, 0);
+  assert.equal(first.standingOf(() => ['g']).crashes, 1);
 });
 
 test('an input that was in two crashes is sent again at once, or never', async (context) => {
@@ -125,12 +125,12 @@
   context.after(() => shared.close());
   const process = shared.start();
   crash(process, 'e1', ['g', 'i']);
-  assert.equal(process.standingOf(() => 'g').delayMs, 0);
+  assert.equal(process.standingOf(() => ['g']).delayMs, 0);
   crash(process, 'e2', ['g']);
-  const { delayMs } = process.standingOf(() => 'g');
+  const { delayMs } = process.standingOf(() => ['g']);
   assert.ok(delayMs > 3 * SECOND_MS);
   await shared.pass(delayMs);
-  assert.equal(process.standingOf(() => 'g').delayMs, 0);
+  assert.equal(process.standingOf(() => ['g']).delayMs, 0);
 });
 
 test('a record that can not be read replaces the last copy, or is not reported', async (context) => {
--- a/packages/quarantine/src/crashEvidence.ts
+++ b/packages/quarantine/src/crashEvidence.ts
@@ -41,15 +41,16 @@
 }
 
 /**
- * Removes an input that ran to an answer from the suspects. Answers crashes that interrupt whole
+ * Removes an input that ran to an answer, and its target, from the suspects. Answers crashes that interrupt whole
  * batches: all but one of the calls are innocent, and show it when they are sent again.
  */
 export function clearSuspect(
   record: QuarantineRecord,
-  digest: string,
+  digests: string[],
   nowMs: number,
 ): QuarantineRecord {
-  return evaluate({ ...record, crashes: withoutSuspect(record.crashes, digest) }, nowMs);
+  const crashes = digests.reduce(withoutSuspect, record.crashes);
+  return evaluate({ ...record, crashes }, nowMs);
 }
 
 /** Removes an input from the quarantine and from the suspects. */
@@ -60,18 +61,19 @@
   };
 }
 
-/** Returns the number of unexplained crashes of each suspected input, by digest. */
+/** Returns the number of unexplained crashes of each suspected input and target, by digest. */
 export function countCrashes({ crashes }: QuarantineRecord): Map<string, number> {
   const counts = new Map<string, number>();
-  crashes
-    .flatMap(({ suspects }) => suspects)
-    .forEach(({ digest }) => counts.set(digest, (counts.get(digest) ?? 0) + 1));
+  crashes.forEach(({ suspects }) => {
+    const digests = new Set(suspects.flatMap(digestsOf));
+    digests.forEach((digest) => counts.set(digest, (counts.get(digest) ?? 0) + 1));
+  });
   return counts;
 }
 
 /**
- * Returns the crashes of the inputs that were in several, by digest. Answers the repeats that follow a
- * crash within a second: the probable cause waits, and the others run without it.
+ * Returns the crashes of the inputs and targets that were in several, by digest. Answers the repeats
+ * that follow a crash within a second: the probable cause waits, and the others run without it.
  */
 export function repeatedSuspects(record: QuarantineRecord): Map<string, RecordedCrash[]> {
   const repeated = [...countCrashes(record)].filter(([, count]) => count >= CRASHES_TO_DELAY);
@@ -83,11 +85,13 @@
 function evaluate(record: QuarantineRecord, nowMs: number): QuarantineRecord {
   let current = explainKnown(record);
   while (true) {
-    const cause = findCause(current);
-    if (!cause) return current;
-    const own = crashesOf(current, cause.digest);
+    const digest = findCause(current);
+    if (digest === undefined) return current;
+    const own = crashesOf(current, digest);
+    const suspect = own.flatMap(({ suspects }) => suspects).find((each) => isOf(each, digest));
     const input: QuarantinedInput = {
-      ...cause,
+      digest,
+      route: suspect?.route ?? '',
       service: own[0]?.service ?? '',
       sinceMs: nowMs,
       endpoints: own.map(({ endpoint }) => endpoint).slice(0, MAXIMUM_ENDPOINTS_OF_INPUT),
@@ -99,51 +103,79 @@
   }
 }
 
-function findCause(record: QuarantineRecord): Suspect | undefined {
-  const frequent = [...countCrashes(record)].filter(([, count]) => count >= CRASHES_TO_QUARANTINE);
-  const cause = frequent.find(([digest]) => isCause(digest, crashesOf(record, digest)));
-  const suspects = record.crashes.flatMap((crash) => crash.suspects);
-  return cause && suspects.find(({ digest }) => digest === cause[0]);
+/** Returns the digest of an input, or of a target if no input alone was in enough of the crashes. */
+function findCause(record: QuarantineRecord): string | undefined {
+  const inputs = new Set(record.crashes.flatMap(({ suspects }) => suspects.map(inputOf)));
+  const causes = [...countCrashes(record)]
+    .filter(([, count]) => count >= CRASHES_TO_QUARANTINE)
+    .map(([digest]) => digest)
+    .filter((digest) => isCause(digest, crashesOf(record, digest)));
+  return causes.find((digest) => inputs.has(digest)) ?? causes[0];
 }
 
 /** An input that was in nearly all of the crashes explains them just as well. */
 function isCause(digest: string, own: RecordedCrash[]): boolean {
   if (own.length >= MAXIMUM_CRASHES) return true;
-  const counts = new Map<string, number>();
-  own
-    .flatMap(({ suspects }) => suspects)
-    .filter((suspect) => suspect.digest !== digest)
-    .forEach((other) => counts.set(other.digest, (counts.get(other.digest) ?? 0) + 1));
-  return Math.max(0, ...counts.values()) < own.length - 1;
+  const suspects = own.flatMap((crash) => crash.suspects);
+  const ownDigests = new Set(suspects.filter((each) => isOf(each, digest)).flatMap(digestsOf));
+  const others = own.map((crash) => ({
+    ...crash,
+    suspects: crash.suspects.filter((suspect) => !isOf(suspect, digest)),
+  }));
+  const counts = [...countCrashes({ crashes: others, inputs: [] })]
+    .filter(([other]) => !ownDigests.has(other))
+    .map(([, count]) => count);
+  return Math.max(0, ...counts) < own.length - 1;
 }
 
 /** Marks the crashes of quarantined inputs as explained. */
 function explainKnown({ crashes, inputs }: QuarantineRecord): QuarantineRecord {
   const quarantined = new Set(inputs.map(({ digest }) => digest));
   const marked = crashes.map((crash) => {
-    const isExplained =
-      crash.isExplained || crash.suspects.some(({ digest }) => quarantined.has(digest));
+    const digests = crash.suspects.flatMap(digestsOf);
+    const isExplained = crash.isExplained || digests.some((digest) => quarantined.has(digest));
     return isExplained ? { ...crash, isExplained, suspects: [] } : crash;
   });
   return { crashes: marked, inputs };
 }
 
 function crashesOf({ crashes }: QuarantineRecord, digest: string): RecordedCrash[] {
-  return crashes.filter((crash) => hasSuspect(crash, digest));
+  return crashes.filter(({ suspects }) => suspects.some((suspect) => isOf(suspect, digest)));
 }
 
+/** Removes an input, or a target from the inputs that have it. */
 function withoutSuspect(crashes: RecordedCrash[], digest: string): RecordedCrash[] {
   return crashes.map((crash) => ({
     ...crash,
-    suspects: crash.suspects.filter((suspect) => suspect.digest !== digest),
+    suspects: crash.suspects
+      .filter((suspect) => suspect.digest !== digest)
+      .map((suspect) => (suspect.target === digest ? withoutTarget(suspect) : suspect)),
   }));
 }
 
-function hasSuspect({ suspects }: RecordedCrash, digest: string): boolean {
-  return suspects.some((suspect) => suspect.digest === digest);
+function withoutTarget({ digest, route }: Suspect): Suspect {
+  return { digest, route };
+}
+
+function inputOf({ digest }: Suspect): string {
+  return digest;
 }
 
+function digestsOf({ digest, target }: Suspect): string[] {
+  return target === undefined ? [digest] : [digest, target];
+}
+
+function isOf(suspect: Suspect, digest: string): boolean {
+  return suspect.digest === digest || suspect.target === digest;
+}
+
+/** A target counts only if no process has seen an answer to a call with it. */
 function mergeSuspects(known: Suspect[], added: Suspect[]): Suspect[] {
-  const merged = new Map([...known, ...added].map((suspect) => [suspect.digest, suspect]));
+  const merged = new Map(known.map((suspect) => [suspect.digest, suspect]));
+  added.forEach((suspect) => {
+    const isNew = !merged.has(suspect.digest);
+    const hasTarget = isNew || merged.get(suspect.digest)?.target !== undefined;
+    merged.set(suspect.digest, hasTarget ? suspect : withoutTarget(suspect));
+  });
   return [...merged.values()].slice(0, MAXIMUM_SUSPECTS);
 }
--- a/packages/quarantine/src/inputDigest.ts
+++ b/packages/quarantine/src/inputDigest.ts
@@ -17,7 +17,23 @@
  * Returns the digest by which repetitions of a request are recognized, 32 hexadecimal digits. Headers
  * and earlier turns don't count: ids, programs and user agents differ each time.
  */
-export function inputDigest({ host, method, target, body }: RequestInput): string {
-  const head = JSON.stringify([host.toLowerCase(), method, target]);
-  return createHash('sha256').update(head).update(body).digest('hex').slice(0, DIGEST_DIGITS);
+export function inputDigest(input: RequestInput): string {
+  return digestOf(['input', headOf(input)], input.body);
+}
+
+/**
+ * Returns the digest of a request's host, method and target, 32 hexadecimal digits. Recognizes
+ * repetitions whose bodies differ because they contain the earlier turns of another program.
+ */
+export function targetDigest(input: Omit<RequestInput, 'body'>): string {
+  return digestOf(['target', headOf(input)], Buffer.alloc(0));
+}
+
+function headOf({ host, method, target }: Omit<RequestInput, 'body'>): string[] {
+  return [host.toLowerCase(), method, target];
+}
+
+function digestOf(head: unknown[], body: Buffer): string {
+  const hash = createHash('sha256').update(JSON.stringify(head)).update(body);
+  return hash.digest('hex').slice(0, DIGEST_DIGITS);
 }
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -109,17 +109,23 @@
     this.crashListeners.push(listener);
   }
 
-  /** Returns what is known of an input; `digest` is called only if anything is known. */
-  standingOf(digest: () => string): InputStanding {
+  /** Returns what is known of a call; `digestsOf` returns those of its input and its target, and is called
+   * only if anything is known. */
+  standingOf(digestsOf: () => string[]): InputStanding {
     if (this.quarantined.size + this.suspected.size === 0) return CLEAR;
-    const key = digest();
-    const quarantined = this.quarantined.get(key);
-    const crashes = this.suspected.get(key) ?? 0;
+    const digests = digestsOf();
+    const quarantined = digests
+      .map((digest) => this.quarantined.get(digest))
+      .find((input) => input !== undefined);
+    const counts = digests.map((digest) => this.suspected.get(digest) ?? 0);
+    const crashes = Math.max(...counts);
     if (crashes === 0) return { ...CLEAR, quarantined };
+    const suspect = digests[counts.indexOf(crashes)] ?? '';
+    const untilMs = digests.map((digest) => this.delayedUntilMs.get(digest) ?? 0);
     return {
       crashes,
-      delayMs: Math.max(0, (this.delayedUntilMs.get(key) ?? 0) - this.options.clock.now()),
-      rank: [...this.suspected.keys()].filter((other) => other < key).length,
+      delayMs: Math.max(0, Math.max(...untilMs) - this.options.clock.now()),
+      rank: [...this.suspected.keys()].filter((other) => other < suspect).length,
       quarantined,
     };
   }
@@ -131,12 +137,13 @@
     this.write();
   }
 
-  /** Records that a suspected input ran to an answer. */
-  async reportAnswer(digest: string): Promise<void> {
+  /** Records that a call ran to an answer whose input or target is suspected. */
+  async reportAnswer(digests: string[]): Promise<void> {
     const { clock, log } = this.options;
     const nowMs = clock.wallTime();
-    log.write('suspicionCleared', { input: digest, crashes: this.suspected.get(digest) });
-    this.change((record) => clearSuspect(record, digest, nowMs));
+    const { crashes } = this.standingOf(() => digests);
+    log.write('suspicionCleared', { input: digests[0], crashes });
+    this.change((record) => clearSuspect(record, digests, nowMs));
     await clock.sleep(COLLECTION_MS, this.stopped.signal).catch(() => undefined);
     await this.write();
   }
--- a/packages/quarantine/src/quarantineRecord.ts
+++ b/packages/quarantine/src/quarantineRecord.ts
@@ -4,6 +4,8 @@
 const suspect = z.object({
   /** Digest of the input. */
   digest: z.string(),
+  /** Digest of the target; absent if other calls with this target were answered. */
+  target: z.string().optional(),
   route: z.string(),
 });
 
@@ -20,6 +22,7 @@
 });
 
 const quarantinedInput = z.object({
+  /** Digest of the input, or of the target of inputs whose bodies differ. */
   digest: z.string(),
   route: z.string(),
   service: z.string(),
