Quarantine: a target that only one input of each crash has comes before the input

Change: the target is quarantined if no entry answered a call with it and no crash interrupted two inputs with it; such shared targets are not suspected. Table cases added.

--- a/packages/quarantine/src/__tests__/crashEvidence.test.ts
+++ b/packages/quarantine/src/__tests__/crashEvidence.test.ts
@@ -202,7 +202,7 @@
     suspected: '',
   },
   {
-    name: 'an input that three crashes have in common is quarantined rather than its target',
+    name: 'an input that three crashes have in common is quarantined without a target that others have',
     steps: [
       { crash: 1, inputs: 'g@T a@T' },
       { crash: 2, inputs: 'g@T b@T' },
@@ -212,6 +212,17 @@
     repeated: '',
     suspected: '',
   },
+  {
+    name: 'the target of an input that three crashes have in common is quarantined for all inputs',
+    steps: [
+      { crash: 1, inputs: 'g@T a' },
+      { crash: 2, inputs: 'g@T b' },
+      { crash: 3, inputs: 'g@T c' },
+    ],
+    quarantined: 'T',
+    repeated: '',
+    suspected: '',
+  },
   {
     name: 'an answer clears the target of other inputs, but not these inputs',
     steps: [
--- a/packages/quarantine/src/crashEvidence.ts
+++ b/packages/quarantine/src/crashEvidence.ts
@@ -103,14 +103,14 @@
   }
 }
 
-/** Returns the digest of an input, or of a target if no input alone was in enough of the crashes. */
+/** Returns the digest of a target, or of an input whose target is shared with other calls. */
 function findCause(record: QuarantineRecord): string | undefined {
   const inputs = new Set(record.crashes.flatMap(({ suspects }) => suspects.map(inputOf)));
   const causes = [...countCrashes(record)]
     .filter(([, count]) => count >= CRASHES_TO_QUARANTINE)
     .map(([digest]) => digest)
     .filter((digest) => isCause(digest, crashesOf(record, digest)));
-  return causes.find((digest) => inputs.has(digest)) ?? causes[0];
+  return causes.find((digest) => !inputs.has(digest)) ?? causes[0];
 }
 
 /** An input that was in nearly all of the crashes explains them just as well. */
@@ -169,7 +169,8 @@
   return suspect.digest === digest || suspect.target === digest;
 }
 
-/** A target counts only if no process has seen an answer to a call with it. */
+/** A target counts only if no process has seen an answer to a call with it, and if no two of the
+ * interrupted inputs have it. */
 function mergeSuspects(known: Suspect[], added: Suspect[]): Suspect[] {
   const merged = new Map(known.map((suspect) => [suspect.digest, suspect]));
   added.forEach((suspect) => {
@@ -177,5 +178,10 @@
     const hasTarget = isNew || merged.get(suspect.digest)?.target !== undefined;
     merged.set(suspect.digest, hasTarget ? suspect : withoutTarget(suspect));
   });
-  return [...merged.values()].slice(0, MAXIMUM_SUSPECTS);
+  const suspects = [...merged.values()].slice(0, MAXIMUM_SUSPECTS);
+  const targets = suspects.map(({ target }) => target);
+  return suspects.map((suspect) => {
+    const isShared = targets.indexOf(suspect.target) !== targets.lastIndexOf(suspect.target);
+    return isShared ? withoutTarget(suspect) : suspect;
+  });
 }
