Own interface: a model call interrupts three endpoints at most, also when it is repeated

The owner of a program now counts the runs of a request that ended with the loss of their endpoint, and refuses it after three.

--- a/packages/entry/src/modelTurn.ts
+++ b/packages/entry/src/modelTurn.ts
@@ -13,6 +13,8 @@
 import type { Program } from './program';
 
 const MAXIMUM_ATTEMPTS = 5;
+/** Number of runs of one request that may end with the loss of their endpoint. */
+const MAXIMUM_INTERRUPTED_RUNS = 3;
 /** Average retry delay after the first attempt; grows by this much with each further one. */
 const RETRY_DELAY_STEP_MS = 30;
 
@@ -29,6 +31,9 @@
   'internal',
 ];
 
+/** Error kinds with which an endpoint is lost under a call. */
+const LOSS_KINDS = ['connection-lost', 'endpoint-failed'];
+
 const PRIORITY_RANK: Record<Priority, number> = { urgent: 0, standard: 1, background: 2 };
 
 /** Options of `runModelTurn`. */
@@ -78,6 +83,7 @@
     options.onText(part);
   };
   for (let attempt = 1; ; attempt += 1) {
+    refuseRepeatedlyInterrupted(options, mayHaveStarted);
     let endpointId = '';
     try {
       const endpoint = await chooseEndpoint(options, context, tried);
@@ -89,6 +95,8 @@
     } catch (thrown) {
       const error = toCallError(thrown);
       mayHaveStarted ||= error.execution !== 'not-run';
+      const isInterrupted = LOSS_KINDS.includes(error.kind) && error.execution !== 'not-run';
+      if (isInterrupted) program.recordInterruptedRun(options.requestId);
       const isRetried = RETRIED_KINDS.includes(error.kind) && attempt < MAXIMUM_ATTEMPTS;
       if (!isRetried) throw mayHaveStarted ? asUnknownExecution(error) : error;
       tried.add(endpointId);
@@ -97,6 +105,21 @@
   }
 }
 
+/**
+ * Throws `quarantined` for a request under which several endpoints were lost. Answers inputs that crash
+ * each endpoint, which attempts and repeats would otherwise bring to one after another.
+ */
+function refuseRepeatedlyInterrupted(
+  { program, requestId }: ModelTurnOptions,
+  mayHaveStarted: boolean,
+): void {
+  const runs = program.interruptedRunsOf(requestId);
+  if (runs < MAXIMUM_INTERRUPTED_RUNS) return;
+  const message = `${runs} endpoints were lost while they ran the call; don't repeat it, and check the endpoints and the input`;
+  const execution = mayHaveStarted ? 'unknown' : 'not-run';
+  throw new CallError({ kind: 'quarantined', message, execution });
+}
+
 function chooseEndpoint(
   { program, body, service, priority, endpoints }: ModelTurnOptions,
   context: string,
--- a/packages/entry/src/program.ts
+++ b/packages/entry/src/program.ts
@@ -5,6 +5,9 @@
 /** Maximum number of endpoints with context of one program; the continuation lists them all. */
 const MAXIMUM_VISITED_ENDPOINTS = 4;
 
+/** Maximum number of requests whose interrupted runs are counted; a program runs one at a time. */
+const MAXIMUM_INTERRUPTED_REQUESTS = 64;
+
 /** Options of `Program`. */
 export interface ProgramOptions {
   id: string;
@@ -48,6 +51,9 @@
   /** Endpoints that may cache context of the program, most recent last. */
   private visited: string[] = [];
 
+  /** Number of runs that ended with the loss of their endpoint, by request id. */
+  private readonly interruptedRuns = new Map<string, number>();
+
   /** Turn at which the program was recovered without a handover; -1 otherwise. */
   recoveredAtTurn = -1;
 
@@ -77,6 +83,21 @@
     this.warmEndpoint = options.warmEndpoint ?? '';
   }
 
+  /** Returns how many runs of a request ended with the loss of their endpoint. */
+  interruptedRunsOf(request: string): number {
+    return this.interruptedRuns.get(request) ?? 0;
+  }
+
+  /** Records that a run of a request ended with the loss of its endpoint. */
+  recordInterruptedRun(request: string): void {
+    const runs = this.interruptedRunsOf(request) + 1;
+    this.interruptedRuns.delete(request);
+    this.interruptedRuns.set(request, runs);
+    const [oldest] = this.interruptedRuns.keys();
+    const isFull = this.interruptedRuns.size > MAXIMUM_INTERRUPTED_REQUESTS;
+    if (isFull && oldest !== undefined) this.interruptedRuns.delete(oldest);
+  }
+
   get visitedEndpoints(): readonly string[] {
     return this.visited;
   }
