--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -246,6 +246,7 @@
     const host = headerValue(message.rawHeaders, 'host') ?? '';
     const route = table.match(host, target);
     if (!route) throw this.unmatchedTarget(target);
+    trace.setRoute(route.name);
     const callTimeoutMs = Math.min(callHeaders.deadlineMs ?? Infinity, route.timeoutMs);
     const caller = trackCaller(response, callTimeoutMs);
     try {
@@ -344,6 +345,9 @@
   ): void {
     const { log, clock, metrics } = this.options;
     metrics.count('gateway_requests_total', { outcome });
+    if (outcome === 'quarantined') {
+      metrics.count('quarantine_refusals_total', { route: trace.route });
+    }
     log.write(failure ? 'requestFailed' : 'requestAnswered', {
       request: requestId,
       ...trace.fields,
