Calls held back are counted by service and reason; a suspected target runs once at a time

refusal counters by route did not tell the reasons apart, and two inputs with one suspected target could run at the same entry at once.

--- a/packages/gateway/src/callTrace.ts
+++ b/packages/gateway/src/callTrace.ts
@@ -11,8 +11,6 @@
 
 /** Collects the log fields of a call while it is handled. */
 export class CallTrace {
-  private routeName = '';
-
   private program: string | undefined;
 
   private sends = 0;
@@ -23,16 +21,6 @@
 
   private answerBody: AnswerBody | undefined;
 
-  /** Sets the name of the route that matched the call. */
-  setRoute(name: string): void {
-    this.routeName = name;
-  }
-
-  /** Name of the route; empty before one matched. */
-  get route(): string {
-    return this.routeName;
-  }
-
   /** Sets the id of the program that the call belongs to. */
   setProgram(program: string | undefined): void {
     this.program = program;
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -131,8 +131,12 @@
   ): void {
     const { choice, suspects, clock } = this.options;
     try {
-      const leftMs = remainingMs(request, clock);
-      suspects.refuseUnsafe(request.input, leftMs, choice.countEndpoints(service));
+      suspects.refuseUnsafe({
+        input: request.input,
+        service,
+        remainingMs: remainingMs(request, clock),
+        endpoints: choice.countEndpoints(service),
+      });
     } catch (error) {
       throw history.outcomeOf(toCallError(error));
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -110,7 +110,7 @@
     this.choice = new EndpointChoice({ clock, domain, rateLimits });
     quarantine.onCrash((key) => this.choice.recordCrash(key));
     const { stalenessMs } = options;
-    this.suspects = new SuspectCalls({ quarantine });
+    this.suspects = new SuspectCalls({ quarantine, metrics });
     this.crashes = new EndpointCrashes({ clock, onCrash: (crash) => this.recordCrash(crash) });
     const attempts = new EndpointAttempts({
       choice: this.choice,
@@ -246,7 +246,6 @@
     const host = headerValue(message.rawHeaders, 'host') ?? '';
     const route = table.match(host, target);
     if (!route) throw this.unmatchedTarget(target);
-    trace.setRoute(route.name);
     const callTimeoutMs = Math.min(callHeaders.deadlineMs ?? Infinity, route.timeoutMs);
     const caller = trackCaller(response, callTimeoutMs);
     try {
@@ -345,9 +344,6 @@
   ): void {
     const { log, clock, metrics } = this.options;
     metrics.count('gateway_requests_total', { outcome });
-    if (outcome === 'quarantined') {
-      metrics.count('quarantine_refusals_total', { route: trace.route });
-    }
     log.write(failure ? 'requestFailed' : 'requestAnswered', {
       request: requestId,
       ...trace.fields,
--- a/packages/gateway/src/suspectCalls.ts
+++ b/packages/gateway/src/suspectCalls.ts
@@ -1,4 +1,5 @@
-import type { Quarantine, Suspect } from '@marjorampin/quarantine';
+import type { Metrics } from '@marjorampin/metrics';
+import type { InputStanding, Quarantine, Suspect } from '@marjorampin/quarantine';
 import { CallError, type Execution } from '@marjorampin/types';
 import type { CallInput } from './callInput';
 
@@ -18,6 +19,24 @@
   available: number;
 }
 
+/** Why a call is not sent to an endpoint. */
+type HoldReason = 'quarantined' | 'delayed' | 'in-progress' | 'last-endpoint';
+
+/** A call with a suspected input that is about to be sent. */
+export interface SuspectCall {
+  input: CallInput;
+  service: string;
+  /** Milliseconds until the caller's deadline. */
+  remainingMs: number;
+  endpoints: EndpointCounts;
+}
+
+/** Options of `SuspectCalls`. */
+export interface SuspectCallsOptions {
+  quarantine: Quarantine;
+  metrics: Metrics;
+}
+
 /**
  * Decides on calls whose inputs were interrupted by crashes. Answers inputs that crash each endpoint:
  * suspected ones run apart from each other, so that the next crash shows which one is its cause.
@@ -25,21 +44,25 @@
 export class SuspectCalls {
   private readonly quarantine: Quarantine;
 
-  /** Suspected inputs in progress. */
+  private readonly metrics: Metrics;
+
+  /** Suspected inputs and targets in progress. */
   private readonly running = new Set<string>();
 
   /** Digests of the targets of answered calls, least recently used first. */
   private readonly answeredTargets = new Set<string>();
 
-  constructor({ quarantine }: { quarantine: Quarantine }) {
+  constructor({ quarantine, metrics }: SuspectCallsOptions) {
     this.quarantine = quarantine;
+    this.metrics = metrics;
   }
 
   /** Throws `quarantined` if the input is not sent to endpoints any more. */
   refuseQuarantined(input: CallInput, execution: Execution): void {
     const { quarantined } = this.standingOf(input);
     if (!quarantined) return;
-    const { digest, endpoints } = quarantined;
+    const { digest, service, endpoints } = quarantined;
+    this.count(service, 'quarantined');
     const message = `the input ${digest} is quarantined, as endpoints crashed under it (${endpoints.join(', ')}); don't repeat the call, and ask the operators to lift the quarantine once the service is fixed`;
     throw new CallError({ kind: 'quarantined', message, execution });
   }
@@ -51,31 +74,31 @@
   }
 
   /** Throws `overloaded` if a suspected input must not run now. */
-  refuseUnsafe(
-    input: CallInput,
-    remainingMs: number,
-    { registered, available }: EndpointCounts,
-  ): void {
+  refuseUnsafe({ input, service, remainingMs, endpoints }: SuspectCall): void {
     const { delayMs } = this.standingOf(input);
     if (delayMs > 0) {
-      throw delayed('the input was interrupted by several crashes', delayMs);
+      this.count(service, 'delayed');
+      throw heldBack('the input was interrupted by several crashes', delayMs);
     }
-    if (this.running.has(input.digest)) {
-      throw delayed(
-        'the same input is being tried after a crash',
-        shareOf(remainingMs, RETRY_AFTER_MS),
-      );
+    if (input.digests.some((digest) => this.running.has(digest))) {
+      this.count(service, 'in-progress');
+      const retryAfterMs = shareOf(remainingMs, RETRY_AFTER_MS);
+      throw heldBack('the same input is being tried after a crash', retryAfterMs);
     }
-    if (available < 2 && registered > 1) {
+    if (endpoints.available < 2 && endpoints.registered > 1) {
+      this.count(service, 'last-endpoint');
       const reason = 'the input was interrupted by a crash, and only one endpoint is left';
-      throw delayed(reason, shareOf(remainingMs, LAST_ENDPOINT_RETRY_AFTER_MS));
+      throw heldBack(reason, shareOf(remainingMs, LAST_ENDPOINT_RETRY_AFTER_MS));
     }
   }
 
   /** Records that a suspected input is sent to an endpoint; the returned function records its end. */
-  begin({ digest }: CallInput): () => void {
-    this.running.add(digest);
-    return () => this.running.delete(digest);
+  begin(input: CallInput): () => void {
+    const suspected = input.digests.filter(
+      (digest) => this.quarantine.standingOf(() => [digest]).crashes > 0,
+    );
+    suspected.forEach((digest) => this.running.add(digest));
+    return () => suspected.forEach((digest) => this.running.delete(digest));
   }
 
   /** Records that an input ran to an answer. */
@@ -97,7 +120,11 @@
     return this.answeredTargets.has(target) ? { digest, route } : { digest, target, route };
   }
 
-  private standingOf(input: CallInput) {
+  private count(service: string, reason: HoldReason): void {
+    this.metrics.count('calls_held_back_total', { service, reason });
+  }
+
+  private standingOf(input: CallInput): InputStanding {
     return this.quarantine.standingOf(() => input.digests);
   }
 }
@@ -106,7 +133,7 @@
   return Math.min(delayMs, remainingMs * MAXIMUM_DELAY_SHARE);
 }
 
-function delayed(reason: string, delayMs: number): CallError {
+function heldBack(reason: string, delayMs: number): CallError {
   const retryAfterMs = Math.round(delayMs);
   const message = `${reason}; retry after ${retryAfterMs} ms`;
   return new CallError({ kind: 'overloaded', message, retryAfterMs });
