Quarantine: a call that ran is not refused as not run

Callers were told 503, which promises that a call did not run and never will, when the third crash was under an earlier attempt of the same request (idempotent and resumable routes); for a resumable stream that breaks REFUSED. Found while reading the diff. Cause: the refusal of a quarantined input did not pass through the attempts of the call. Now the answer is 502 then, also on the own interface. crashingInput.test.ts counts such answers; three cases failed before.

--- a/packages/entry/src/modelTurn.ts
+++ b/packages/entry/src/modelTurn.ts
@@ -106,7 +106,7 @@
 }
 
 /**
- * Throws `quarantined` for a request under which several endpoints were lost. Answers inputs that crash
+ * Throws for a request under which several endpoints were lost, `quarantined` if it did not run. Answers inputs that crash
  * each endpoint, which attempts and repeats would otherwise bring to one after another.
  */
 function refuseRepeatedlyInterrupted(
@@ -116,8 +116,8 @@
   const runs = program.interruptedRunsOf(requestId);
   if (runs < MAXIMUM_INTERRUPTED_RUNS) return;
   const message = `${runs} endpoints were lost while they ran the call; don't repeat it, and check the endpoints and the input`;
-  const execution = mayHaveStarted ? 'unknown' : 'not-run';
-  throw new CallError({ kind: 'quarantined', message, execution });
+  if (!mayHaveStarted) throw new CallError({ kind: 'quarantined', message });
+  throw new CallError({ kind: 'endpoint-failed', message, execution: 'unknown' });
 }
 
 function chooseEndpoint(
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -112,31 +112,31 @@
     history: AttemptHistory,
   ): Promise<Endpoint> {
     const { triedIds } = history;
-    const { choice, suspects } = this.options;
     while (true) {
-      suspects.refuseQuarantined(request.input, history.execution);
-      const suspectRank = suspects.rankOf(request.input);
-      if (suspectRank !== undefined) this.refuseUnsafe(request, outgoing, history);
-      const endpoint = choice.choose({ ...outgoing, triedIds, suspectRank });
+      const suspectRank = this.checkSuspect(request, outgoing, history);
+      const endpoint = this.options.choice.choose({ ...outgoing, triedIds, suspectRank });
       if (!endpoint) throw history.outcomeOf(this.noEndpoint(request, outgoing, triedIds.size));
       triedIds.add(endpoint.id);
       if (await this.awaitPermit(request, endpoint)) return endpoint;
     }
   }
 
-  private refuseUnsafe(
+  /** Returns the rank of a suspected input, undefined for any other; throws if it must not be sent. */
+  private checkSuspect(
     request: CallerRequest,
     { service }: SentCall,
     history: AttemptHistory,
-  ): void {
+  ): number | undefined {
     const { choice, suspects, clock } = this.options;
+    const { input } = request;
     try {
-      suspects.refuseUnsafe({
-        input: request.input,
-        service,
-        remainingMs: remainingMs(request, clock),
-        endpoints: choice.countEndpoints(service),
-      });
+      suspects.refuseQuarantined(input);
+      const rank = suspects.rankOf(input);
+      if (rank === undefined) return undefined;
+      const endpoints = choice.countEndpoints(service);
+      const leftMs = remainingMs(request, clock);
+      suspects.refuseUnsafe({ input, service, remainingMs: leftMs, endpoints });
+      return rank;
     } catch (error) {
       throw history.outcomeOf(toCallError(error));
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -278,7 +278,7 @@
     const { route, callHeaders } = request;
     const { program } = callHeaders;
     // Before a turn reserves tokens.
-    this.suspects.refuseQuarantined(request.input, 'not-run');
+    this.suspects.refuseQuarantined(request.input);
     const isMetered = route.storesTurns || program?.tokenBudget !== undefined;
     if (route.kind === 'stream' && program && isMetered) {
       await this.turns.forward(request, program, (name) => table.service(name));
--- a/packages/gateway/src/suspectCalls.ts
+++ b/packages/gateway/src/suspectCalls.ts
@@ -1,6 +1,6 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { InputStanding, Quarantine, Suspect } from '@marjorampin/quarantine';
-import { CallError, type Execution } from '@marjorampin/types';
+import { CallError } from '@marjorampin/types';
 import type { CallInput } from './callInput';
 
 /** Delay after which a caller should repeat a call that has to run apart from others. */
@@ -58,13 +58,13 @@
   }
 
   /** Throws `quarantined` if the input is not sent to endpoints any more. */
-  refuseQuarantined(input: CallInput, execution: Execution): void {
+  refuseQuarantined(input: CallInput): void {
     const { quarantined } = this.standingOf(input);
     if (!quarantined) return;
     const { digest, service, endpoints } = quarantined;
     this.count(service, 'quarantined');
     const message = `the input ${digest} is quarantined, as endpoints crashed under it (${endpoints.join(', ')}); don't repeat the call, and ask the operators to lift the quarantine once the service is fixed`;
-    throw new CallError({ kind: 'quarantined', message, execution });
+    throw new CallError({ kind: 'quarantined', message });
   }
 
   /** Returns the position of an input among the suspected ones; undefined if it is not suspected. */
