--- a/packages/entry/src/modelTurn.ts
+++ b/packages/entry/src/modelTurn.ts
@@ -106,8 +106,9 @@
 }
 
 /**
- * Throws for a request under which several endpoints were lost, `quarantined` if it did not run. Answers inputs that crash
- * each endpoint, which attempts and repeats would otherwise bring to one after another.
+ * Throws for a request under which several endpoints were lost, `quarantined` if it did not run.
+ * Answers inputs that crash each endpoint, which attempts and repeats would otherwise bring to one
+ * after another.
  */
 function refuseRepeatedlyInterrupted(
   { program, requestId }: ModelTurnOptions,
--- a/packages/quarantine/src/crashEvidence.ts
+++ b/packages/quarantine/src/crashEvidence.ts
@@ -41,8 +41,8 @@
 }
 
 /**
- * Removes an input that ran to an answer, and its target, from the suspects. Answers crashes that interrupt whole
- * batches: all but one of the calls are innocent, and show it when they are sent again.
+ * Removes an input that ran to an answer, and its target, from the suspects. Answers crashes that
+ * interrupt whole batches: all but one of the calls are innocent, and show it when they are sent again.
  */
 export function clearSuspect(
   record: QuarantineRecord,
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -109,8 +109,10 @@
     this.crashListeners.push(listener);
   }
 
-  /** Returns what is known of a call; `digestsOf` returns those of its input and its target, and is called
-   * only if anything is known. */
+  /**
+   * Returns what is known of a call. `digestsOf` returns the digests of its input and its target, and is
+   * called only if any input is suspected or quarantined.
+   */
   standingOf(digestsOf: () => string[]): InputStanding {
     if (this.quarantined.size + this.suspected.size === 0) return CLEAR;
     const digests = digestsOf();
