Endpoint crashes: the lapse of an endpoint that interrupted nothing is no crash

Found while reading the diff. Cause: calls that their callers gave up were attributed to a crash when the endpoint's registration then lapsed, but some endpoints remove it without notice and go on serving (planned work). Change: such a lapse only leads to a probe; an endpoint whose answers say that it is leaving counts as leaving. Registrations are looked up for the few endpoints with interrupted calls instead of indexing all at each update, and the bound of retry delays is that of routing/refusal.ts instead of a copy.

--- a/packages/gateway/src/endpointChoice.ts
+++ b/packages/gateway/src/endpointChoice.ts
@@ -96,6 +96,12 @@
     return chooseEndpoint(shuffled, request, ENGINE_COSTS)?.endpoint;
   }
 
+  /** Returns an endpoint, as leaving also if only its answers say so; undefined if not registered. */
+  registrationOf(id: string): Endpoint | undefined {
+    const view = this.directory.get(id);
+    return view?.isLeaving ? { ...view.endpoint, state: 'leaving' } : view?.endpoint;
+  }
+
   /** Returns the numbers of endpoints of a service. */
   countEndpoints(service: string): EndpointCounts {
     const views = this.directory.all().filter(({ endpoint }) => endpoint.service === service);
--- a/packages/gateway/src/endpointCrashes.ts
+++ b/packages/gateway/src/endpointCrashes.ts
@@ -36,6 +36,9 @@
 
   private isCrash = false;
 
+  /** Whether the endpoint itself interrupted one of the calls. */
+  private hasBroken = false;
+
   private probeInProgress: Promise<void> | undefined;
 
   private readonly onCrash: EndpointCrashesOptions['onCrash'];
@@ -46,8 +49,14 @@
     this.onCrash = onCrash;
   }
 
-  /** Adds a call. */
-  add(call: Suspect): void {
+  /** Id of the endpoint, which another incarnation may take over. */
+  get endpointId(): string {
+    return this.endpoint.id;
+  }
+
+  /** Adds a call that the endpoint interrupted, or that its caller gave up. */
+  add(call: Suspect, isInterrupted: boolean): void {
+    this.hasBroken ||= isInterrupted;
     if (this.calls.size < MAXIMUM_CALLS) this.calls.set(call.digest, call);
     if (this.isCrash) this.report(true);
   }
@@ -59,10 +68,17 @@
     await this.probeInProgress;
   }
 
-  /** Compares the endpoint with its registration, undefined if that has lapsed or changed. */
+  /**
+   * Compares the endpoint with its registration, which may have lapsed or changed. Some endpoints
+   * remove theirs without notice and go on serving, so a lapse alone is no crash.
+   */
   compare(registered: Endpoint | undefined): void {
-    if (registered) this.endpoint = registered;
-    else if (this.endpoint.state !== 'leaving') this.confirm();
+    if (registered?.incarnation === this.endpoint.incarnation) {
+      this.endpoint = registered;
+    } else if (this.endpoint.state !== 'leaving') {
+      if (this.hasBroken) this.confirm();
+      else this.check();
+    }
   }
 
   private async probe(): Promise<void> {
@@ -101,13 +117,13 @@
   /** Records an interrupted call; resolves once the endpoint was probed. */
   async record(endpoint: Endpoint, call: Suspect): Promise<void> {
     const interruption = this.interruptionOf(endpoint);
-    interruption.add(call);
+    interruption.add(call, true);
     await interruption.check();
   }
 
   /** Records a call that its caller gave up, and which the endpoint may still be running. */
   recordAbandoned(endpoint: Endpoint, call: Suspect): void {
-    this.interruptionOf(endpoint).add(call);
+    this.interruptionOf(endpoint).add(call, false);
   }
 
   /** Records that an endpoint accepted no connection for a call. */
@@ -116,12 +132,10 @@
     if (known && this.isRecent(known)) known.check();
   }
 
-  /** Compares the registered endpoints with those that interrupted calls before. */
-  updateEndpoints(endpoints: Endpoint[]): void {
-    if (this.interruptions.size === 0) return;
-    const registered = new Map(endpoints.map((endpoint) => [incarnationKey(endpoint), endpoint]));
+  /** Compares the endpoints that interrupted calls with their registrations. */
+  compareRegistrations(find: (id: string) => Endpoint | undefined): void {
     [...this.interruptions].forEach(([key, interruption]) => {
-      if (this.isRecent(interruption)) interruption.compare(registered.get(key));
+      if (this.isRecent(interruption)) interruption.compare(find(interruption.endpointId));
       else this.interruptions.delete(key);
     });
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -160,7 +160,7 @@
   /** Replaces the list of endpoints that calls may be sent to. */
   updateEndpoints(endpoints: Endpoint[]): void {
     this.choice.directory.update(endpoints);
-    this.crashes.updateEndpoints(endpoints);
+    this.crashes.compareRegistrations((id) => this.choice.registrationOf(id));
   }
 
   /** Whether this entry should receive new connections, as its readiness probes report. */
--- a/packages/gateway/src/suspectCalls.ts
+++ b/packages/gateway/src/suspectCalls.ts
@@ -1,5 +1,6 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { InputStanding, Quarantine, Suspect } from '@marjorampin/quarantine';
+import { boundedDelayMs } from '@marjorampin/routing';
 import { CallError } from '@marjorampin/types';
 import type { CallInput } from './callInput';
 
@@ -7,8 +8,6 @@
 const RETRY_AFTER_MS = 300;
 /** The same if no endpoint may be risked; most crashed endpoints return within a few seconds. */
 const LAST_ENDPOINT_RETRY_AFTER_MS = 2_000;
-/** Share of the remaining time that a caller may be told to wait, so that two attempts are left. */
-const MAXIMUM_DELAY_SHARE = 1 / 3;
 
 /** Number of answered targets that are remembered. */
 const MAXIMUM_TARGETS = 10_000;
@@ -82,13 +81,13 @@
     }
     if (input.digests.some((digest) => this.running.has(digest))) {
       this.count(service, 'in-progress');
-      const retryAfterMs = shareOf(remainingMs, RETRY_AFTER_MS);
+      const retryAfterMs = boundedDelayMs(RETRY_AFTER_MS, remainingMs);
       throw heldBack('the same input is being tried after a crash', retryAfterMs);
     }
     if (endpoints.available < 2 && endpoints.registered > 1) {
       this.count(service, 'last-endpoint');
       const reason = 'the input was interrupted by a crash, and only one endpoint is left';
-      throw heldBack(reason, shareOf(remainingMs, LAST_ENDPOINT_RETRY_AFTER_MS));
+      throw heldBack(reason, boundedDelayMs(LAST_ENDPOINT_RETRY_AFTER_MS, remainingMs));
     }
   }
 
@@ -129,10 +128,6 @@
   }
 }
 
-function shareOf(remainingMs: number, delayMs: number): number {
-  return Math.min(delayMs, remainingMs * MAXIMUM_DELAY_SHARE);
-}
-
 function heldBack(reason: string, delayMs: number): CallError {
   const retryAfterMs = Math.round(delayMs);
   const message = `${reason}; retry after ${retryAfterMs} ms`;
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -62,5 +62,10 @@
     ? random * CONTINUATION_SHARE
     : CONTINUATION_SHARE + random * (1 - CONTINUATION_SHARE);
   const delayMs = MINIMUM_DELAY_MS + 2 * drainMs * position;
+  return boundedDelayMs(delayMs, remainingMs);
+}
+
+/** Returns a retry delay of at most the share of the remaining time that leaves two attempts. */
+export function boundedDelayMs(delayMs: number, remainingMs: number): number {
   return Math.round(Math.min(delayMs, Math.max(0, remainingMs) * MAXIMUM_DELAY_SHARE));
 }
