Saturated entries: utilization of the event loop and abandoned calls

Change, without any of logic: gauges of the utilization of the event loop over half a second and of saturation, counters of accepted connections and of abandoned calls by the time since their read, events 816 and 817 when an entry becomes saturated and when that ends.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -51,6 +51,7 @@
       },
       (message, response) => options.serve(message, response),
     );
+    this.server.on('connection', () => options.metrics.count('gateway_connections_total'));
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket as Socket));
     this.applyLimits(INITIAL_LIMITS);
     this.readyServer = http.createServer((message, response) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { EndpointAttempts } from './endpointAttempts';
 import { EndpointChoice } from './endpointChoice';
 import { type EndpointCrash, EndpointCrashes } from './endpointCrashes';
+import { EventLoopLoad, type LoopTimes } from './eventLoopLoad';
 import {
   invalidTarget,
   deadlinePassed,
@@ -37,6 +38,7 @@
 import { LoopLag } from './loopLag';
 import { RateLimits } from './rateLimits';
 import { headerBytes, headerValue } from './rawHeaders';
+import { Saturation } from './saturation';
 import { SuspectCalls } from './suspectCalls';
 import { TurnForwarder } from './turnForwarder';
 
@@ -47,6 +49,14 @@
 /** Number of interrupted inputs that the log line of a crash lists. */
 const LOGGED_INPUTS = 16;
 
+/** Times after a call was read, for the counter of callers that left. Those that leave at once waited
+ * before that, unread. */
+const LEAVING_TIMES = [
+  { label: 'within-100-ms', belowMs: 100 },
+  { label: 'within-1-s', belowMs: 1_000 },
+  { label: 'later', belowMs: Infinity },
+];
+
 /** Options of `Gateway`. */
 export interface GatewayOptions {
   /** Address to listen on for callers. */
@@ -64,6 +74,8 @@
   metrics: Metrics;
   /** Milliseconds since configuration and endpoints were last confirmed to be current. */
   stalenessMs(): number;
+  /** Milliseconds that the event loop was active and idle since the process started. */
+  loopTimes(): LoopTimes;
 }
 
 /** A request with the data for its log entry. */
@@ -94,6 +106,10 @@
 
   private readonly lag: LoopLag;
 
+  private readonly load: EventLoopLoad;
+
+  private readonly saturation: Saturation;
+
   private isStopping = false;
 
   private isRefusing = false;
@@ -105,7 +121,12 @@
   constructor(options: GatewayOptions) {
     this.options = options;
     const { clock, domain, headerCodec, log, metrics, turns, permits, quarantine } = options;
-    this.lag = new LoopLag({ clock });
+    this.load = new EventLoopLoad({ sample: () => options.loopTimes() });
+    this.saturation = new Saturation({
+      onStart: () => log.write('entrySaturated', { active: this.active }),
+      onEnd: (period) => log.write('saturationEnded', { ...period }),
+    });
+    this.lag = new LoopLag({ clock, onSample: () => this.measureLoad() });
     const rateLimits = new RateLimits({ permits, clock, log, metrics });
     this.choice = new EndpointChoice({ clock, domain, rateLimits });
     quarantine.onCrash((key) => this.choice.recordCrash(key));
@@ -136,6 +157,14 @@
     });
     metrics.gauge('gateway_active_requests', 'requests under way', () => this.active);
     metrics.gauge('gateway_loop_lag_ms', 'smoothed lag of the event loop', () => this.lag.ms);
+    metrics.gauge(
+      'gateway_loop_utilization',
+      'share of time in which the event loop is busy',
+      () => this.load.utilization,
+    );
+    metrics.gauge('gateway_saturated', '1 while the event loop is saturated', () =>
+      this.saturation.isSaturated ? 1 : 0,
+    );
     metrics.gauge('gateway_configuration_version', 'version in force', () =>
       this.table ? this.table.configuration.version : 0,
     );
@@ -204,6 +233,7 @@
     const { clock, metrics, headerCodec } = this.options;
     const requestId = headerCodec.requestIdOf(message.rawHeaders);
     this.active += 1;
+    this.saturation.countCall();
     if (!this.isRefusing) this.lastRequestAtMs = clock.now();
     if (this.isStopping) response.shouldKeepAlive = false;
     const arrivedAtMs = clock.now();
@@ -214,6 +244,7 @@
       this.recordOutcome(served, 'answered');
     } catch (error) {
       const failure = toCallError(error);
+      if (response.destroyed && !response.headersSent) this.countAbandoned(arrivedAtMs);
       this.answerError(message, response, failure, requestId);
       this.recordOutcome(served, failure.kind, failure);
     } finally {
@@ -287,6 +318,19 @@
     await this.calls.forward(request);
   }
 
+  private measureLoad(): void {
+    this.load.update();
+    this.saturation.update(this.load.utilization, this.options.clock.now());
+  }
+
+  private countAbandoned(arrivedAtMs: number): void {
+    const { clock, metrics } = this.options;
+    const waitedMs = clock.now() - arrivedAtMs;
+    const after = LEAVING_TIMES.find(({ belowMs }) => waitedMs < belowMs)?.label ?? 'later';
+    metrics.count('gateway_abandoned_total', { after });
+    this.saturation.countAbandoned();
+  }
+
   private recordCrash({ endpoint, calls, isKnown }: EndpointCrash): void {
     const { log, metrics, quarantine } = this.options;
     const { id, service } = endpoint;
--- a/packages/gateway/src/loopLag.ts
+++ b/packages/gateway/src/loopLag.ts
@@ -9,16 +9,26 @@
 /** Lag at which all requests are refused: about the latency objective of the first event. */
 const SHED_ALL_MS = 240;
 
+/** Options of `LoopLag`. */
+export interface LoopLagOptions {
+  clock: Clock;
+  /** Called after each sample. */
+  onSample?: () => void;
+}
+
 /** Measures event-loop lag, so that a slow host sheds requests that others can serve sooner. */
 export class LoopLag {
   private readonly clock: Clock;
 
+  private readonly onSample: () => void;
+
   private readonly stopped = new AbortController();
 
   private smoothedMs = 0;
 
-  constructor({ clock }: { clock: Clock }) {
+  constructor({ clock, onSample = () => undefined }: LoopLagOptions) {
     this.clock = clock;
+    this.onSample = onSample;
   }
 
   /** Measures until `stop` is called. */
@@ -27,6 +37,7 @@
       const dueMs = this.clock.now() + SAMPLE_INTERVAL_MS;
       await this.clock.sleep(SAMPLE_INTERVAL_MS, this.stopped.signal).catch(() => undefined);
       this.addSample(this.clock.now() - dueMs);
+      this.onSample();
     }
   }
 
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -329,6 +329,18 @@
     message: 'a crash could not be recorded in the platform store and will be retried',
     remedy: 'Check the platform store; until it replies, this process counts by itself.',
   },
+  entrySaturated: {
+    number: 816,
+    level: 'warn',
+    message: 'the event loop of this entry is saturated; calls wait unread',
+    remedy: 'Compare entries: if only small hosts log this, send them fewer connections.',
+  },
+  saturationEnded: {
+    number: 817,
+    level: 'info',
+    message: 'the event loop of this entry is not saturated any more',
+    remedy: 'None needed; `abandoned` of the `calls` were left by their callers meanwhile.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
