Entries of a failure domain share their callers' connections

Cause: the balancer gives each entry about the same number of connections, and each entry served all of them, deciding from its own observation only. Node.js accepts one connection in each iteration of its event loop, so calls waited in the accept queue, where the lag of timers does not show them.

Change: entries report their load to a keeper of their failure domain and learn those of the others.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,9 +1,10 @@
 import http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import net, { type AddressInfo, type Socket } from 'node:net';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import type { CallerLimits } from '@marjorampin/routing';
 import type { PeerAddress } from '@marjorampin/types';
+import { ConnectionRelay, type RelayTarget } from './connectionRelay';
 
 /** Limit of the HTTP parser on headers; the configured limit is checked after parsing. */
 const PARSER_HEADER_LIMIT_BYTES = 64 * 1024;
@@ -20,6 +21,16 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
+/** How the entries of a failure domain share their callers' connections. */
+export interface ConnectionSharing {
+  /** Address to listen on for connections that other entries relay. */
+  relayAddress: PeerAddress;
+  /** Returns the entry that should serve a new connection; undefined for this one. */
+  place(): RelayTarget | undefined;
+  /** Called with the id of an entry that could not be reached. */
+  exclude(id: string): void;
+}
+
 /** Options of `CallerServer`. */
 export interface CallerServerOptions {
   /** Address to listen on for callers. */
@@ -28,6 +39,8 @@
   readyAddress: PeerAddress;
   log: EventLog;
   metrics: Metrics;
+  /** Absent if this entry serves all its callers by itself. */
+  sharing?: ConnectionSharing | undefined;
   serve(message: http.IncomingMessage, response: http.ServerResponse): void;
   isReady(): boolean;
 }
@@ -40,6 +53,18 @@
 
   private readonly readyServer: http.Server;
 
+  /** Accepts the connections of callers and hands them to `server` or to another entry. */
+  private readonly placingServer: net.Server | undefined;
+
+  /** Callers' connections that this entry accepted itself and serves. */
+  private readonly ownConnections = new WeakSet<Socket>();
+
+  private readonly relay: ConnectionRelay;
+
+  private accepted = 0;
+
+  private isStopping = false;
+
   constructor(options: CallerServerOptions) {
     this.options = options;
     this.server = http.createServer(
@@ -54,6 +79,13 @@
     this.server.on('connection', () => options.metrics.count('gateway_connections_total'));
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket as Socket));
     this.applyLimits(INITIAL_LIMITS);
+    const { log, metrics, sharing } = options;
+    this.relay = new ConnectionRelay({ log, metrics });
+    if (sharing) {
+      this.placingServer = net.createServer({ noDelay: true, pauseOnConnect: true }, (socket) =>
+        this.placeConnection(socket, sharing),
+      );
+    }
     this.readyServer = http.createServer((message, response) => {
       message.resume();
       response.writeHead(options.isReady() ? 200 : 503).end();
@@ -62,9 +94,10 @@
 
   /** Starts listening on both addresses. */
   async start(): Promise<void> {
-    const { address, readyAddress } = this.options;
+    const { address, readyAddress, sharing } = this.options;
     await listen(this.readyServer, readyAddress);
-    await listen(this.server, address);
+    await listen(this.server, sharing ? sharing.relayAddress : address);
+    if (this.placingServer) await listen(this.placingServer, address);
   }
 
   /** Sets the timeouts for a request's headers and for idle connections. */
@@ -76,9 +109,31 @@
     this.server.keepAliveTimeout = idleTimeoutMs;
   }
 
+  /** Serves all further connections itself. */
+  beginStop(): void {
+    this.isStopping = true;
+  }
+
+  /** Number of connections that callers have opened, without those that other entries relayed. */
+  get acceptedConnections(): number {
+    return this.accepted;
+  }
+
+  /** Number of callers' connections with a request that are relayed to other entries. */
+  get relayedConnections(): number {
+    return this.relay.activeCount;
+  }
+
+  /** Returns whether another entry relays the connection. */
+  isRelayed(socket: Socket): boolean {
+    return this.placingServer !== undefined && !this.ownConnections.has(socket);
+  }
+
   /** Stops listening and closes all connections. */
   async close(): Promise<void> {
-    const closed = Promise.all([this.server, this.readyServer].map(closeServer));
+    const servers = [this.server, this.readyServer, this.placingServer];
+    const closed = Promise.all(servers.map((server) => server && closeServer(server)));
+    this.relay.close();
     this.server.closeAllConnections();
     this.readyServer.closeAllConnections();
     await closed;
@@ -86,9 +141,26 @@
 
   /** Address on which the server listens for callers. */
   get address(): AddressInfo {
+    return (this.placingServer ?? this.server).address() as AddressInfo;
+  }
+
+  /** Address on which the server listens for connections that other entries relay. */
+  get relayAddress(): AddressInfo {
     return this.server.address() as AddressInfo;
   }
 
+  private async placeConnection(socket: Socket, sharing: ConnectionSharing): Promise<void> {
+    this.accepted += 1;
+    const target = this.isStopping ? undefined : sharing.place();
+    if (target) {
+      if (await this.relay.relay(socket, target)) return;
+      sharing.exclude(target.id);
+    }
+    this.ownConnections.add(socket);
+    this.server.emit('connection', socket);
+    socket.resume();
+  }
+
   private rejectMalformed(error: Error & { code?: string }, socket: Socket): void {
     const { log, metrics } = this.options;
     metrics.count('gateway_malformed_total', { code: error.code ?? 'unknown' });
@@ -102,14 +174,14 @@
   }
 }
 
-async function listen(server: http.Server, { host, port }: PeerAddress): Promise<void> {
+async function listen(server: net.Server, { host, port }: PeerAddress): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen({ host, port, backlog: BACKLOG }, resolve);
   });
 }
 
-async function closeServer(server: http.Server): Promise<void> {
+async function closeServer(server: net.Server): Promise<void> {
   await new Promise<void>((resolve) => {
     server.close(() => resolve());
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,7 +17,7 @@
 import { abortAnswer } from './answerRelay';
 import { CallForwarder } from './callForwarder';
 import { type CallerRequest, readCallerBody } from './callerRequest';
-import { CallerServer } from './callerServer';
+import { CallerServer, type ConnectionSharing } from './callerServer';
 import { CallInput } from './callInput';
 import { CallTrace } from './callTrace';
 import { trackCaller } from './callerSignal';
@@ -76,6 +76,8 @@
   stalenessMs(): number;
   /** Milliseconds that the event loop was active and idle since the process started. */
   loopTimes(): LoopTimes;
+  /** How entries share callers' connections; by default, each serves its own. */
+  sharing?: ConnectionSharing | undefined;
 }
 
 /** A request with the data for its log entry. */
@@ -146,12 +148,13 @@
     });
     this.calls = new CallForwarder({ attempts, headerCodec });
     this.turns = new TurnForwarder({ attempts, headerCodec, turns });
-    const { address, readyAddress } = options;
+    const { address, readyAddress, sharing } = options;
     this.server = new CallerServer({
       address,
       readyAddress,
       log,
       metrics,
+      sharing,
       serve: (message, response) => this.serve(message, response),
       isReady: () => this.isReady,
     });
@@ -165,8 +168,15 @@
     metrics.gauge('gateway_saturated', '1 while the event loop is saturated', () =>
       this.saturation.isSaturated ? 1 : 0,
     );
-    metrics.gauge('gateway_configuration_version', 'version in force', () =>
-      this.table ? this.table.configuration.version : 0,
+    metrics.gauge(
+      'gateway_configuration_version',
+      'version in force',
+      () => this.configurationVersion,
+    );
+    metrics.gauge(
+      'gateway_relayed_connections',
+      'connections relayed to other entries',
+      () => this.server.relayedConnections,
     );
   }
 
@@ -198,9 +208,24 @@
     return hasState && !this.isStopping && !this.lag.isHigh;
   }
 
-  /** Number of requests that are not answered yet. */
+  /** Share of the last half second in which the event loop was busy, from 0 to 1. */
+  get utilization(): number {
+    return this.load.utilization;
+  }
+
+  /** Number of connections that callers have opened to this entry. */
+  get acceptedConnections(): number {
+    return this.server.acceptedConnections;
+  }
+
+  /** Version of the configuration in effect; 0 before the first one. */
+  get configurationVersion(): number {
+    return this.table?.configuration.version ?? 0;
+  }
+
+  /** Number of requests that are not answered yet, with the connections relayed to other entries. */
   get activeRequests(): number {
-    return this.active;
+    return this.active + this.server.relayedConnections;
   }
 
   /** Milliseconds since the last request arrived, not counting refused ones after `refuseNew`. */
@@ -211,6 +236,7 @@
   /** Reports this entry as not ready, and closes each open connection after its next answer. */
   beginStop(): void {
     this.isStopping = true;
+    this.server.beginStop();
   }
 
   /** Refuses all further requests, so that those in progress can end before the process stops. */
@@ -229,13 +255,19 @@
     return this.server.address;
   }
 
+  /** Address on which the gateway listens for connections that other entries relay. */
+  get relayAddress(): AddressInfo {
+    return this.server.relayAddress;
+  }
+
   private async serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { clock, metrics, headerCodec } = this.options;
     const requestId = headerCodec.requestIdOf(message.rawHeaders);
     this.active += 1;
     this.saturation.countCall();
     if (!this.isRefusing) this.lastRequestAtMs = clock.now();
-    if (this.isStopping) response.shouldKeepAlive = false;
+    // A relayed connection serves one request, so that the next one is placed anew.
+    if (this.isStopping || this.server.isRelayed(message.socket)) response.shouldKeepAlive = false;
     const arrivedAtMs = clock.now();
     const trace = new CallTrace();
     const served = { requestId, response, trace, arrivedAtMs };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** HTTP gateway: forwards callers' requests to endpoints. */
+export type { ConnectionSharing } from './callerServer';
 export * from './headerCodec';
 export * from './endpointChoice';
 export * from './endpointExchange';
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -212,6 +212,12 @@
     message: 'a keeper could not list the values of the store; they are read directly',
     remedy: 'Check the connection of the keeper to the store if this repeats.',
   },
+  loadNotShared: {
+    number: 715,
+    level: 'warn',
+    message: 'the load of this entry could not be exchanged with its failure domain',
+    remedy: 'Check the connection to the keeper; until then, this entry serves all its callers.',
+  },
   keeperReachable: {
     number: 712,
     level: 'info',
@@ -341,6 +347,12 @@
     message: 'the event loop of this entry is not saturated any more',
     remedy: 'None needed; `abandoned` of the `calls` were left by their callers meanwhile.',
   },
+  relayTargetUnreachable: {
+    number: 818,
+    level: 'warn',
+    message: 'a connection could not be relayed to another entry and is served by this one',
+    remedy: 'Check the host of the entry if this repeats.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/placement/src/placeConnection.ts
+++ b/packages/placement/src/placeConnection.ts
@@ -3,14 +3,101 @@
 /** Load of an entry, as plain data. */
 export type PlacementLoad = Omit<EntryLoad, '$typeName' | '$unknown'>;
 
+/** Processor time, on a whole core, of serving the calls of one connection, and of relaying them. */
+const SERVICE_MS = 5;
+const RELAY_MS = 1;
+/** Smallest gain in expected time for which a connection is relayed. */
+const MINIMUM_GAIN_MS = 5;
+/** Share of its capacity that even a saturated entry is assumed to have left. */
+const MINIMUM_SPARE_SHARE = 0.05;
+/** Utilization above which an entry counts with less than its capacity. */
+const HIGH_UTILIZATION = 0.9;
+/** Assumed rate of connections besides the measured one, which decides before there are any. */
+const ASSUMED_CONNECTIONS_PER_SECOND = 1;
+/** An entry whose data is older than this entry's by more than this serves no relayed connection. */
+const MAXIMUM_EXTRA_STALENESS_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/** An entry that could serve more connections than the balancer gives it. */
+interface Candidate<T> {
+  load: T;
+  /** Connections per second that it lacks. */
+  deficit: number;
+}
+
 /**
- * Returns the entry that should serve a new connection, undefined for the entry itself: each entry
- * serves the connections that the balancer gives it.
+ * Returns the entry that should serve a new connection, undefined for the entry itself. Answers a
+ * balancer that gives hosts of different size equally many connections, and bursts at single hosts:
+ * each entry serves its part of all connections of the failure domain, in proportion to its capacity,
+ * and relays the rest if that is noticeably faster. Connections are counted where callers opened them,
+ * so the decisions of one moment do not change the input of the next ones. `random` is a number from 0
+ * to 1.
  */
 export function placeConnection<T extends PlacementLoad>(
-  _self: PlacementLoad,
-  _others: T[],
-  _random: number,
+  self: PlacementLoad,
+  others: T[],
+  random: number,
 ): T | undefined {
-  return undefined;
+  const usable = others.filter((other) => canServe(other, self));
+  const all = [self, ...usable];
+  const totalRate = sumOf(all, demandOf);
+  const meanDemand = totalRate / sumOf(all, ({ capacity }) => capacity);
+  const totalCapacity = sumOf(all, (load) => serviceCapacity(load, meanDemand));
+  const partOf = (load: PlacementLoad) =>
+    (totalRate * serviceCapacity(load, meanDemand)) / totalCapacity;
+  const keptShare = partOf(self) / demandOf(self);
+  if (random < keptShare) return undefined;
+  const candidates = usable
+    .filter((load) => gainMs(self, load) > MINIMUM_GAIN_MS)
+    .map((load) => ({ load, deficit: Math.max(0, partOf(load) - demandOf(load)) }));
+  return pickByDeficit(candidates, (random - keptShare) / (1 - keptShare));
+}
+
+function pickByDeficit<T>(candidates: Candidate<T>[], position: number): T | undefined {
+  let remaining = position * sumOf(candidates, ({ deficit }) => deficit);
+  return candidates.find(({ deficit }) => {
+    remaining -= deficit;
+    return deficit > 0 && remaining < 0;
+  })?.load;
+}
+
+/** Returns by how much sooner another entry serves a connection than this one would serve all of its
+ * own. */
+function gainMs(self: PlacementLoad, other: PlacementLoad): number {
+  const offered = (demandOf(self) * SERVICE_MS) / MS_PER_SECOND / self.capacity;
+  const ownSpare = spareCapacity(self, Math.max(offered, self.utilization));
+  return (SERVICE_MS - RELAY_MS) / ownSpare - SERVICE_MS / spareCapacity(other, other.utilization);
+}
+
+/** Returns the cores that are not in use at a utilization. */
+function spareCapacity({ capacity }: PlacementLoad, utilization: number): number {
+  return capacity * Math.max(MINIMUM_SPARE_SHARE, 1 - utilization);
+}
+
+/** Returns the cores that an entry has for serving: those with more demand than the mean also relay.
+ * A busy entry counts with less, as its host may be slower than it states. */
+function serviceCapacity(load: PlacementLoad, meanDemand: number): number {
+  const { capacity, utilization } = load;
+  const demand = demandOf(load);
+  const relaying = demand / capacity > meanDemand ? (demand * RELAY_MS) / MS_PER_SECOND : 0;
+  const share = (1 - utilization) / (1 - HIGH_UTILIZATION);
+  const usable = Math.min(1, Math.max(MINIMUM_SPARE_SHARE, share));
+  return Math.max(capacity * MINIMUM_SPARE_SHARE, capacity - relaying) * usable;
+}
+
+function demandOf({ connectionsPerSecond }: PlacementLoad): number {
+  return connectionsPerSecond + ASSUMED_CONNECTIONS_PER_SECOND;
+}
+
+/** A caller must not get an older configuration than the entry that it is connected to has. */
+function canServe(other: PlacementLoad, self: PlacementLoad): boolean {
+  return (
+    other.accepting &&
+    other.configurationVersion === self.configurationVersion &&
+    other.stalenessMs <= self.stalenessMs + MAXIMUM_EXTRA_STALENESS_MS
+  );
+}
+
+function sumOf<T>(items: T[], valueOf: (item: T) => number): number {
+  return items.reduce((sum, item) => sum + valueOf(item), 0);
 }
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -1,5 +1,6 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Hash } from '@marjorampin/membership';
+import { LoadTable } from '@marjorampin/placement';
 import {
   type AcquirePermit,
   type CommitTurn,
@@ -16,6 +17,7 @@
   type ReserveTokens,
   type Roster,
   type SettleTokens,
+  type ShareLoad,
   type TurnRecord,
 } from '@marjorampin/protocol';
 import type { Snapshot, StoreError } from '@marjorampin/store';
@@ -63,10 +65,13 @@
 
   private readonly permits: PermitTable;
 
+  private readonly loads: LoadTable;
+
   constructor(options: KeeperHandlerOptions) {
     super();
     this.options = options;
     this.permits = new PermitTable({ clock: options.clock });
+    this.loads = new LoadTable({ clock: options.clock });
   }
 
   /** Adds a listener that is called after each newer roster. */
@@ -114,6 +119,8 @@
         return this.newerRosterReply(body.value.rosterVersion) ?? this.acquirePermit(body.value);
       case 'reportRateLimit':
         return this.recordRateLimit(body.value);
+      case 'shareLoad':
+        return this.shareLoad(body.value);
       case 'probe':
         return { body: { case: 'acknowledgement', value: { accepted: true } } };
       default:
@@ -244,6 +251,11 @@
     return { body: { case: 'acknowledgement', value: { accepted: true } } };
   }
 
+  private shareLoad({ load }: ShareLoad): ReplyInit {
+    if (!load) throw missing('load');
+    return { body: { case: 'entryLoads', value: { loads: this.loads.exchange(load) } } };
+  }
+
   private copy({ roster, receiver, after }: CopyPrograms): ReplyInit {
     if (!roster) throw missing('roster');
     this.adopt(roster);
