Addresses: only those that a connection can have; one check for all lists

Cause: parsePeerAddress checked the form of an address but no value. An entry of the endpoint list with port 65536 or 99999, left by another writer, was taken as an endpoint. The socket refused the port with an exception, which was reported as a call that may have run: streams and non-idempotent calls failed beside a sound endpoint. Port 0, octets above 255 and colons alone as IPv6 were accepted too. An IPv6 address kept its brackets, with which neither a socket nor http.request accepts it.

Change: parsePeerAddress checks port and IP address and returns the host without brackets; parseListeningAddress also accepts port 0, for settings; formatPeerAddress writes the text. All lists, settings and clients use these three. A call that can't be sent because of an exception did not run.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -9,6 +9,7 @@
 import { PeerPool, PeerServer, type TlsFiles } from '@marjorampin/protocol';
 import {
   type Clock,
+  formatPeerAddress,
   type Endpoint,
   type EndpointState,
   type PeerAddress,
@@ -102,7 +103,7 @@
   /** Starts listening, registers the endpoint and returns the bound address. */
   async start(): Promise<PeerAddress> {
     const bound = await this.server.listen();
-    this.boundAddress = `${bound.host}:${bound.port}`;
+    this.boundAddress = formatPeerAddress(bound);
     await this.register();
     this.options.log.write('processStarted', { role: 'agent', id: this.options.id });
     return bound;
--- a/packages/cli/src/commands/processes.ts
+++ b/packages/cli/src/commands/processes.ts
@@ -4,7 +4,7 @@
 import { Metrics } from '@marjorampin/metrics';
 import { HttpKeyValueStore } from '@marjorampin/store';
 import { agentSettingsSchema, entrySettingsSchema, readToml } from '@marjorampin/settings';
-import { parsePeerAddress, type PeerAddress, SystemClock } from '@marjorampin/types';
+import { parseListeningAddress, type PeerAddress, SystemClock } from '@marjorampin/types';
 import { requireOption } from './requireOption';
 import { waitForStopSignal } from './waitForStopSignal';
 
@@ -61,5 +61,5 @@
 
 /** Parses `IP:port`; the settings schema rejects other text, so the fallback is never used. */
 function parseAddress(text: string): PeerAddress {
-  return parsePeerAddress(text) ?? { host: '127.0.0.1', port: 0 };
+  return parseListeningAddress(text) ?? { host: '127.0.0.1', port: 0 };
 }
--- a/packages/cli/src/commands/standin.ts
+++ b/packages/cli/src/commands/standin.ts
@@ -4,7 +4,7 @@
   KeyValueStoreStandin,
   ServiceStandin,
 } from '@marjorampin/standins';
-import { parsePeerAddress } from '@marjorampin/types';
+import { formatPeerAddress, parseListeningAddress } from '@marjorampin/types';
 import { waitForStopSignal } from './waitForStopSignal';
 
 interface StandinOptions {
@@ -33,11 +33,11 @@
   const { address, decodeStepMs, prefillTokensPerMs, batchSize, cacheTokens } = options;
   const engineOptions = { decodeStepMs, prefillTokensPerMs, batchSize, cacheTokens };
   const definedOptions = Object.entries(engineOptions).filter(([, value]) => value !== undefined);
-  const parsed = parsePeerAddress(address);
+  const parsed = parseListeningAddress(address);
   if (!parsed) throw new Error(`--address "${address}" is invalid; use IP:PORT`);
   const standin = createStandin(system, Object.fromEntries(definedOptions));
-  const { host, port } = await standin.listen(parsed);
-  console.log(`${system} listens on http://${host}:${port}`);
+  const bound = await standin.listen(parsed);
+  console.log(`${system} listens on http://${formatPeerAddress(bound)}`);
   await waitForStopSignal();
   await standin.close();
 }
--- a/packages/development/src/developmentCluster.ts
+++ b/packages/development/src/developmentCluster.ts
@@ -10,7 +10,7 @@
   KeyValueStoreStandin,
   ServiceStandin,
 } from '@marjorampin/standins';
-import { type PeerAddress, type Service, SystemClock } from '@marjorampin/types';
+import { formatPeerAddress, type PeerAddress, type Service, SystemClock } from '@marjorampin/types';
 
 const LOOPBACK: PeerAddress = { host: '127.0.0.1', port: 0 };
 const DEFAULT_ENTRY_COUNT = 2;
@@ -182,6 +182,6 @@
   }
 }
 
-function urlOf({ host, port }: PeerAddress): string {
-  return `http://${host}:${port}`;
+function urlOf(address: PeerAddress): string {
+  return `http://${formatPeerAddress(address)}`;
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -16,7 +16,12 @@
 import { BurnRecorder, type Metrics } from '@marjorampin/metrics';
 import type { KeyValueStore } from '@marjorampin/store';
 import { PeerPool, PeerServer, type TlsFiles } from '@marjorampin/protocol';
-import { type Clock, parseProgramId, type PeerAddress } from '@marjorampin/types';
+import {
+  type Clock,
+  formatPeerAddress,
+  parseProgramId,
+  type PeerAddress,
+} from '@marjorampin/types';
 import { H3, toNodeHandler } from 'h3';
 import { AdministrationApi } from './administrationApi';
 import { CallerApi } from './callerApi';
@@ -130,7 +135,7 @@
   async start(): Promise<EntryAddresses> {
     const { id, log } = this.options;
     const peers = await this.peerServer.listen();
-    this.address = `${peers.host}:${peers.port}`;
+    this.address = formatPeerAddress(peers);
     await Promise.all([
       this.configuration.start(),
       this.members.start(),
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -37,7 +37,7 @@
 /** Returns whether an idle connection to an endpoint is open. */
 export function hasIdleConnection({ address }: Endpoint): boolean {
   // The key under which `http.Agent` stores the connections to an address without TLS.
-  const idle = keepAliveAgent.freeSockets[`${address}:`];
+  const idle = keepAliveAgent.freeSockets[`${address.replace(/[[\]]/g, '')}:`];
   return idle !== undefined && idle.length > 0;
 }
 
@@ -83,14 +83,13 @@
       );
       return;
     }
-    const request = http.request({
-      ...address,
-      method,
-      path: target,
-      headers,
-      agent,
-      signal,
-    });
+    let request: http.ClientRequest;
+    try {
+      request = http.request({ ...address, method, path: target, headers, agent, signal });
+    } catch (error) {
+      fail(`the call could not be sent: ${String(error)}`);
+      return;
+    }
     const connectTimer = setTimeout(() => {
       request.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
     }, CONNECT_TIMEOUT_MS);
--- a/packages/settings/src/__tests__/readToml.test.ts
+++ b/packages/settings/src/__tests__/readToml.test.ts
@@ -28,6 +28,12 @@
     expectedKeys: ['entry.callerAddress'],
     expectedMessage: /entry\.caller_address = "localhost:7400": use an IP address and a port/,
   },
+  {
+    name: 'a port out of range is reported',
+    text: ENTRY_SETTINGS.replace('127.0.0.1:7401', '127.0.0.1:74010'),
+    expectedKeys: ['entry.peerAddress'],
+    expectedMessage: /entry\.peer_address = "127\.0\.0\.1:74010": use an IP address and a port/,
+  },
   {
     name: 'an unknown key is reported',
     text: `${ENTRY_SETTINGS}data_folders = "/tmp"\n`,
--- a/packages/settings/src/settingsSchema.ts
+++ b/packages/settings/src/settingsSchema.ts
@@ -1,10 +1,10 @@
-import { parsePeerAddress } from '@marjorampin/types';
+import { parseListeningAddress } from '@marjorampin/types';
 import * as z from 'zod';
 
 const address = z
   .string()
   .refine(
-    (text) => parsePeerAddress(text) !== undefined,
+    (text) => parseListeningAddress(text) !== undefined,
     'use an IP address and a port, such as "127.0.0.1:7400"',
   );
 
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -10,7 +10,7 @@
   RosterSchema,
 } from '@marjorampin/protocol';
 import { type KeyValueStore, WatchedPrefix } from '@marjorampin/store';
-import type { Clock, PeerAddress } from '@marjorampin/types';
+import { type Clock, formatPeerAddress, type PeerAddress } from '@marjorampin/types';
 import { DurableLog } from './durableLog';
 import { KeeperHandler } from './keeperHandler';
 import { type KeeperState, readKeeperState, writeKeeperState } from './keeperState';
@@ -99,11 +99,11 @@
     const peers = new PeerPool({ handler, clock, supervision: 'during calls' });
     this.peers = peers;
     this.server = new PeerServer({ address, handler, clock });
-    const { host, port } = await this.server.listen();
+    const bound = await this.server.listen();
     const values = this.watchValues(handler, peers);
     this.values = values;
     this.rosterMaintainer = new RosterMaintainer({
-      self: { id, domain, address: `${host}:${port}`, disk: this.state.disk },
+      self: { id, domain, address: formatPeerAddress(bound), disk: this.state.disk },
       store,
       values,
       retirement: this.options.retirement,
@@ -121,7 +121,7 @@
       intact: this.state.intact,
     });
     values.start().then(() => this.rosterMaintainer?.run());
-    return port;
+    return bound.port;
   }
 
   /** Whether replies are complete: all data assigned under the newest roster is stored. */
