Answers that name no call count only as the first on their connection

Cause: an answer without the id of a call was taken as that of the call in progress, on any connection. When a faulty endpoint wrote an earlier refusal once more on a kept connection, the caller was told that its call did not run, or a stream was sent to a second endpoint, although the first was running it. Errors without a promise (400, 402, 404, 500) were passed on as well. Of an answer with several ids only the first was compared.

Change: the headers of an answer state all ids. An answer belongs to a call if it names that call and no other; it may name none only as the first answer on its connection. Otherwise the outcome is unknown: idempotent calls are repeated, streams are not, and no caller is told that nothing ran.

--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -50,9 +50,9 @@
 }
 
 /**
- * Sends a call and resolves once the answer's headers have arrived. A reused connection may be
- * closing or deliver data of an earlier call; the call then fails with an unknown outcome. Rejects
- * with a `CallError` whose `execution` states whether the call may have run.
+ * Sends a call and resolves once the headers of its answer have arrived. A reused connection may be
+ * closing or deliver an answer of an earlier call; the call then fails with an unknown outcome.
+ * Rejects with a `CallError` whose `execution` states whether the call may have run.
  */
 export function exchangeWithEndpoint(
   call: EndpointCall,
@@ -115,10 +115,11 @@
     request.on('response', (message) => {
       const status = message.statusCode ?? 0;
       const parsedHeaders = headerCodec.readAnswer(status, message.rawHeaders);
-      if (parsedHeaders.requestId !== undefined && parsedHeaders.requestId !== requestId) {
+      const mismatch = mismatchOf(parsedHeaders.requestIds, requestId, request.reusedSocket);
+      if (mismatch !== undefined) {
         message.on('error', () => undefined);
         request.destroy();
-        fail(`its answer belongs to another call, ${parsedHeaders.requestId}`);
+        fail(mismatch);
         return;
       }
       answerMessage = message;
@@ -136,3 +137,18 @@
     request.end(body);
   });
 }
+
+/**
+ * Returns why an answer can't be attributed to a call, undefined if it can. Only the first answer on
+ * a connection needs no id, as it can't belong to an earlier call.
+ */
+function mismatchOf(
+  answeredIds: string[],
+  requestId: string,
+  isReused: boolean,
+): string | undefined {
+  const otherId = answeredIds.find((id) => id !== requestId);
+  if (otherId !== undefined) return `its answer belongs to another call, "${otherId}"`;
+  if (!isReused || answeredIds.length > 0) return undefined;
+  return 'its answer names no call and may belong to an earlier one on the connection';
+}
--- a/packages/gateway/src/headerCodec.ts
+++ b/packages/gateway/src/headerCodec.ts
@@ -48,8 +48,8 @@
 
 /** Contents of an answer's headers. */
 export interface AnswerHeaders {
-  /** Id of the call that the answer belongs to; undefined if absent, which is not a mismatch. */
-  requestId: string | undefined;
+  /** Ids of the calls that the answer names; empty if it names none. */
+  requestIds: string[];
   /** Whether the answer proves that it comes from the endpoint. */
   isGenuine: boolean;
   /** Whether the endpoint states that the call did not run and never will. */
--- a/packages/gateway/src/rawHeaders.ts
+++ b/packages/gateway/src/rawHeaders.ts
@@ -25,9 +25,10 @@
 
 /** Returns all values of a header, in the order of the message; `name` is in lower case. */
 export function headerValues(headers: RawHeaders, name: string): string[] {
-  return headers.filter(
-    (_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name,
-  );
+  return headers.filter((_, index) => {
+    const header = index % 2 === 1 ? (headers[index - 1] ?? '') : '';
+    return header.length === name.length && header.toLowerCase() === name;
+  });
 }
 
 /** Returns the headers without hop-by-hop ones, those listed in `Connection`, and `dropped` ones. */
