Large answers: a pause leaves no listeners on the caller's response

Cause: writeToCaller waited for the drain or the close of the response; after one, the listeners for the other stayed. After ten pauses Node.js warned of a leak (MaxListenersExceededWarning).

Change: the wait removes all its listeners when it ends.

--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -54,9 +54,15 @@
 }
 
 /** Writes bytes and waits until the caller accepts more, or has disconnected. */
-async function writeToCaller(response: http.ServerResponse, bytes: Buffer): Promise<void> {
+export async function writeToCaller(response: http.ServerResponse, bytes: Buffer): Promise<void> {
   if (response.write(bytes) || response.destroyed) return;
-  await Promise.race([once(response, 'drain'), once(response, 'close')]);
+  const settled = new AbortController();
+  const { signal } = settled;
+  try {
+    await Promise.race([once(response, 'drain', { signal }), once(response, 'close', { signal })]);
+  } finally {
+    settled.abort();
+  }
 }
 
 /** Breaks off an answer so that its caller can't take it as complete. */
