Answers: an upgrade, a switch of protocol or a status below 200 is no answer

Cause: after an unrequested "101 Switching Protocols" with an Upgrade header, Node.js destroys the connection and reports neither an answer nor an error. The exchange never ended, not even at the timeout of the route, so the caller got nothing. Without that header, Node.js reports the 101 as an answer; it was sent to the caller as one, without a check, as was status 099.

Change: the exchange rejects an upgrade and any status below 200 with an unknown outcome, and ends when its connection closes, in whichever way.

--- a/packages/agent/src/__tests__/brokenAnswers.test.ts
+++ b/packages/agent/src/__tests__/brokenAnswers.test.ts
@@ -88,6 +88,22 @@
   };
 }
 
+/** Heads of answers, which the server stops at any byte before it closes the connection. */
+const HEADS = [
+  { name: 'with a length', head: `${HEAD}Content-Length: 9\r\n\r\n` },
+  { name: 'with chunks', head: CHUNKED },
+  { name: 'without a length', head: UNFRAMED },
+  { name: 'that closes', head: `${HEAD}Connection: close\r\n\r\n` },
+];
+
+/** Heads that are complete, but not that of an answer. */
+const NO_ANSWERS = [
+  'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n',
+  'HTTP/1.1 101 Switching\r\nContent-Length: 5\r\n\r\nwhole',
+  'HTTP/1.1 103 Early Hints\r\n\r\n',
+  'HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n',
+];
+
 const isUnknownFailure = (error: unknown) =>
   error instanceof CallError && error.kind === 'endpoint-failed' && error.execution === 'unknown';
 
@@ -120,6 +136,44 @@
   );
 });
 
+/** Every way to stop an answer before its head ends; resets only where a byte was sent. */
+const CUT_HEADS: { name: string; responders: RawResponder[] }[] = [
+  ...HEADS.flatMap(({ name, head }) => {
+    const texts = [...head].map((_, length) => head.slice(0, length));
+    return [
+      { name: `a head ${name} that is closed early`, responders: texts.map(closeAfter) },
+      {
+        name: `a head ${name} that is reset early`,
+        responders: texts.map((text) => resetAfter(text, 0)),
+      },
+    ];
+  }),
+  { name: 'a head of no answer', responders: NO_ANSWERS.map(closeAfter) },
+];
+
+CUT_HEADS.forEach(({ name, responders }) => {
+  test(`plain service: ${name} is not an outcome of the call`, TIMEOUT, async () => {
+    for (const respond of responders) {
+      await withServer(respond, async (url, server) => {
+        const endpoint = new HttpPlainEndpoint({ url });
+        await assert.rejects(endpoint.execute(PLAIN_CALL, signal), isUnknownFailure);
+        assert.equal(server.requests.length, 1);
+      });
+    }
+  });
+  test(`model engine: ${name} is neither a generation nor a context`, TIMEOUT, async () => {
+    for (const respond of responders) {
+      await withServer(respond, async (url, server) => {
+        const endpoint = new HttpModelEndpoint({ url });
+        await assert.rejects(endpoint.generate(MODEL_CALL, () => undefined, signal));
+        await assert.rejects(endpoint.exportContext('p1'));
+        await assert.rejects(endpoint.release('p1'));
+        assert.equal(server.requests.length, 3);
+      });
+    }
+  });
+});
+
 const RESULT = { text: 'x', inputTokens: 1, cachedTokens: 0, rebuiltTokens: 0, outputTokens: 1 };
 const TEXT_EVENT = `data: ${JSON.stringify({ text: 'x' })}\n\n`;
 const RESULT_EVENT = `data: ${JSON.stringify({ result: RESULT })}\n\n`;
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -9,6 +9,9 @@
 /** Time within which an endpoint must accept a connection; otherwise the call isn't sent. */
 const CONNECT_TIMEOUT_MS = 400;
 
+/** Lower statuses are those of interim answers or invalid. */
+const LOWEST_FINAL_STATUS = 200;
+
 /** One call to one endpoint. */
 export interface EndpointCall {
   endpoint: Endpoint;
@@ -115,7 +118,10 @@
     request.on('response', (message) => {
       const status = message.statusCode ?? 0;
       const parsedHeaders = headerCodec.readAnswer(status, message.rawHeaders);
-      const mismatch = mismatchOf(parsedHeaders.requestIds, requestId, request.reusedSocket);
+      const isFinal = status >= LOWEST_FINAL_STATUS;
+      const mismatch = isFinal
+        ? mismatchOf(parsedHeaders.requestIds, requestId, request.reusedSocket)
+        : `it answered with status ${status}, which is not that of an answer`;
       if (mismatch !== undefined) {
         message.on('error', () => undefined);
         request.destroy();
@@ -133,7 +139,14 @@
       // Node.js treats a reset as the end of a body without a declared length.
       if (answerMessage && !answerMessage.complete) answerMessage.destroy(error);
     });
-    request.on('close', () => clearTimeout(connectTimer));
+    request.on('upgrade', (_, socket) => {
+      socket.destroy();
+      fail('it switched to another protocol, which was not requested');
+    });
+    request.on('close', () => {
+      clearTimeout(connectTimer);
+      fail('the connection closed without an answer');
+    });
     request.end(body);
   });
 }
--- a/packages/store/src/__tests__/brokenResponses.test.ts
+++ b/packages/store/src/__tests__/brokenResponses.test.ts
@@ -37,6 +37,43 @@
   },
 ];
 
+const CUT_HEADS = [
+  `${HEAD}Content-Length: ${VALUE.length}\r\n\r\n`,
+  `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+  `${HEAD}Connection: close\r\n\r\n`,
+  `HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n${HEAD}`,
+  'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n',
+];
+
+[false, true].forEach((isKept) => {
+  CUT_HEADS.forEach((head) => {
+    const connection = isKept ? 'kept' : 'new';
+    const name = JSON.stringify(head);
+    test(`store: a ${connection} connection closed at any byte of ${name} brings no value`, async () => {
+      for (let length = 0; length < head.length; length += 1) {
+        let isFirst = isKept;
+        const server = new RawStandin((socket) => {
+          if (isFirst) socket.write(`${HEAD}Content-Length: ${VALUE.length}\r\n\r\n${VALUE}`);
+          else socket.end(head.slice(0, length));
+          isFirst = false;
+        });
+        const url = `http://${await server.listen()}`;
+        const store = new HttpKeyValueStore({ url, timeoutMs: TIMEOUT_MS });
+        try {
+          if (isKept) assert.equal((await store.get('a')).ok, true);
+          const read = await store.get('a');
+          assert.equal(read.err && read.val.kind, 'unavailable');
+          const written = await store.compareAndSwap({ key: 'a', value: 'v', expectedVersion: 0 });
+          assert.equal(written.err && written.val.kind, 'ambiguous');
+        } finally {
+          await store.close();
+          server.close();
+        }
+      }
+    });
+  });
+});
+
 BROKEN.forEach(({ name, respond }) => {
   test(`store: a response ${name} is no value`, { timeout: 20_000 }, async () => {
     let sentBytes = 0;
