Store clients: an unusable response is an error of the request, with its outcome

Cause: the store client of the own interface threw on a response with an unexpected body instead of returning an error. The exception ended a watch for good (its process ended with an unhandled rejection). A value that is not JSON ended the read-back of a write with an exception.

The read-back treats text that is not JSON as the value of another writer.

--- a/packages/store/src/__tests__/brokenResponses.test.ts
+++ b/packages/store/src/__tests__/brokenResponses.test.ts
@@ -2,6 +2,7 @@
 import test from 'node:test';
 import { RawStandin, type RawResponder, writeWithoutEnd } from '@marjorampin/standins';
 import { SystemClock } from '@marjorampin/types';
+import { compareAndSwapWithReadBack } from '../compareAndSwapWithReadBack';
 import { HttpKeyValueStore } from '../httpKeyValueStore';
 
 /** Bytes that a store may send before its connection is closed: the limit of 32 MiB for a response,
@@ -96,3 +97,57 @@
     }
   });
 });
+
+const NESTING = 400_000;
+
+/** Bodies of status 200 that are not those of any response. */
+const UNUSABLE = [
+  '',
+  'null',
+  '[]',
+  '"text"',
+  '{}',
+  '{"version":"1","revision":"1","values":{}}',
+  '{"key":"a","value":"v","version":1e999,"revision":1e999,"values":[],"removed":[],"complete":true}',
+  '{"key":"a","value":null,"version":null,"revision":1,"values":[null]}',
+  `${'['.repeat(NESTING)}${']'.repeat(NESTING)}`,
+  '['.repeat(NESTING),
+];
+
+UNUSABLE.forEach((body) => {
+  [`Content-Length: ${body.length}`, 'Connection: close'].forEach((header) => {
+    const name = JSON.stringify(body.slice(0, 40));
+    test(`store: a response ${name} with ${header} is an error of the request`, async () => {
+      const server = new RawStandin((socket) => socket.end(`${HEAD}${header}\r\n\r\n${body}`));
+      const url = `http://${await server.listen()}`;
+      const store = new HttpKeyValueStore({ url, timeoutMs: TIMEOUT_MS });
+      try {
+        const reads = [await store.get('a'), await store.list('a'), await store.watch('a', 1, 10)];
+        reads.forEach((read) => assert.equal(read.err && read.val.kind, 'unavailable'));
+        const written = await store.compareAndSwap({ key: 'a', value: 'v', expectedVersion: 0 });
+        assert.equal(written.err && written.val.kind, 'ambiguous');
+      } finally {
+        await store.close();
+        server.close();
+      }
+    });
+  });
+});
+
+test('a write whose value is replaced by text that is not JSON meets a conflict', async () => {
+  const stored = JSON.stringify({ key: 'a', value: '{"token":', version: 2 });
+  const server = new RawStandin((socket, { head }) => {
+    if (head.startsWith('PUT')) socket.end();
+    else socket.end(`${HEAD}Content-Length: ${stored.length}\r\n\r\n${stored}`);
+  });
+  const url = `http://${await server.listen()}`;
+  const store = new HttpKeyValueStore({ url, timeoutMs: TIMEOUT_MS });
+  try {
+    const swap = { key: 'a', value: {}, expectedVersion: 1 };
+    const written = await compareAndSwapWithReadBack(store, swap);
+    assert.equal(written.err && written.val.kind, 'conflict');
+  } finally {
+    await store.close();
+    server.close();
+  }
+});
--- a/packages/store/src/compareAndSwapWithReadBack.ts
+++ b/packages/store/src/compareAndSwapWithReadBack.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from '@marjorampin/types';
+import { Err, Ok, parseJson, type Result } from '@marjorampin/types';
 import { randomUUID } from 'node:crypto';
 import { type KeyValueStore, StoreError } from './keyValueStore';
 
@@ -44,7 +44,8 @@
   expectedVersion: number,
   ambiguousError: StoreError,
 ): Result<number, StoreError> {
-  if (stored && (JSON.parse(stored.value) as TokenedValue).token === token) {
+  const found = stored && (parseJson(stored.value) as Partial<TokenedValue> | null | undefined);
+  if (stored && found?.token === token) {
     return Ok(stored.version);
   }
   // An unchanged version does not mean that the write failed: it may still arrive.
--- a/packages/store/src/exchangeJson.ts
+++ b/packages/store/src/exchangeJson.ts
@@ -1,5 +1,7 @@
 import { answerText, sendRequest } from '@marjorampin/http';
+import { Err, Ok, type Result } from '@marjorampin/types';
 import type { Dispatcher } from 'undici';
+import type * as z from 'zod';
 import { StoreError } from './keyValueStore';
 
 /** Limit of a response; it may hold several values of 1 MB. */
@@ -37,6 +39,18 @@
   return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) };
 }
 
+/** Decodes the body of a successful response; an unusable one counts as no response. */
+export function decodeResponse<Schema extends z.ZodType>(
+  request: Pick<StoreRequest, 'origin' | 'method'>,
+  { status, body }: StoreResponse,
+  schema: Schema,
+): Result<z.infer<Schema>, StoreError> {
+  const parsed = schema.safeParse(body);
+  if (status === 200 && parsed.success) return Ok(parsed.data);
+  if (status >= 400 && status < 500) return Err(refusedError(request.origin, status));
+  return Err(unansweredError(request, `status ${status} with an unexpected body`));
+}
+
 /** Creates the error of a request that failed without a usable response. A write may have taken
  * effect or may still do so, so its error is `ambiguous`. */
 export function unansweredError(
--- a/packages/store/src/httpKeyValueStore.ts
+++ b/packages/store/src/httpKeyValueStore.ts
@@ -2,6 +2,7 @@
 import { Agent } from 'undici';
 import * as z from 'zod';
 import {
+  decodeResponse,
   exchangeJson,
   refusedError,
   type StoreResponse,
@@ -54,19 +55,20 @@
     const response = await this.send('GET', `/kv/${encodeURIComponent(key)}`);
     if (response.err) return response;
     if (response.val.status === 404) return Ok(undefined);
-    return Ok(storedValue.parse(response.val.body));
+    return this.decode('GET', response.val, storedValue);
   }
 
   override async list(prefix: string): Promise<Result<Snapshot, StoreError>> {
     const response = await this.send('GET', `/list?prefix=${encodeURIComponent(prefix)}`);
-    return response.map(({ body }) => snapshot.parse(body));
+    return response.andThen((listed) => this.decode('GET', listed, snapshot));
   }
 
   override async compareAndSwap(write: CompareAndSwap): Promise<Result<number, StoreError>> {
     const { key, value, expectedVersion } = write;
     const path = `/kv/${encodeURIComponent(key)}`;
     const response = await this.send('PUT', path, { value, expectedVersion });
-    return response.map(({ body }) => written.parse(body).version);
+    if (response.err) return response;
+    return this.decode('PUT', response.val, written).map(({ version }) => version);
   }
 
   override async remove(key: string, expectedVersion: number): Promise<Result<void, StoreError>> {
@@ -82,7 +84,7 @@
   ): Promise<Result<Changes, StoreError>> {
     const query = `prefix=${encodeURIComponent(prefix)}&after=${revision}&wait=${waitMs}`;
     const response = await this.send('GET', `/watch?${query}`, undefined, waitMs);
-    return response.map(({ body }) => changes.parse(body));
+    return response.andThen((watched) => this.decode('GET', watched, changes));
   }
 
   /** Closes the connections to the store. */
@@ -90,6 +92,14 @@
     await this.dispatcher.destroy();
   }
 
+  private decode<Schema extends z.ZodType>(
+    method: StoreRequest['method'],
+    response: StoreResponse,
+    schema: Schema,
+  ): Result<z.infer<Schema>, StoreError> {
+    return decodeResponse({ origin: this.url, method }, response, schema);
+  }
+
   private async send(
     method: StoreRequest['method'],
     path: string,
