Requests that can't be forwarded are refused as invalid, not as failures of the endpoint

Change: as addresses and ids of endpoints are checked when they are read, the cause is the request: it is refused with status 400 and is not repeated.

--- a/packages/gateway/src/attemptHistory.ts
+++ b/packages/gateway/src/attemptHistory.ts
@@ -30,7 +30,8 @@
   }
 
   /** Returns whether the call may be sent again after the failure that was recorded last. */
-  allowsRepeat({ execution }: CallError): boolean {
+  allowsRepeat({ kind: failureKind, execution }: CallError): boolean {
+    if (failureKind === 'invalid-request') return false;
     const { kind, isResumable, maximumAttempts } = this.route;
     const isRepeatable = kind === 'idempotent' || isResumable;
     if (execution !== 'not-run' && !isRepeatable) return false;
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -90,7 +90,8 @@
     try {
       request = http.request({ ...address, method, path: target, headers, agent, signal });
     } catch (error) {
-      fail(`the call could not be sent: ${String(error)}`);
+      // The address was checked, so the cause is a header or the target of the call.
+      reject(notForwardable(error));
       return;
     }
     const connectTimer = setTimeout(() => {
@@ -165,3 +166,9 @@
   if (!isReused || answeredIds.length > 0) return undefined;
   return 'its answer names no call and may belong to an earlier one on the connection';
 }
+
+function notForwardable(error: unknown): CallError {
+  const reason = error instanceof Error ? error.message : String(error);
+  const message = `the request can't be forwarded: ${reason}; correct its headers or target`;
+  return new CallError({ kind: 'invalid-request', message });
+}
