--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -9,6 +9,9 @@
 /** Time within which an endpoint must accept a connection; otherwise the call isn't sent. */
 const CONNECT_TIMEOUT_MS = 400;
 
+/** Lower statuses are those of interim answers or invalid. */
+const LOWEST_FINAL_STATUS = 200;
+
 /** One call to one endpoint. */
 export interface EndpointCall {
   endpoint: Endpoint;
@@ -37,7 +40,7 @@
 /** Returns whether an idle connection to an endpoint is open. */
 export function hasIdleConnection({ address }: Endpoint): boolean {
   // The key under which `http.Agent` stores the connections to an address without TLS.
-  const idle = keepAliveAgent.freeSockets[`${address}:`];
+  const idle = keepAliveAgent.freeSockets[`${address.replace(/[[\]]/g, '')}:`];
   return idle !== undefined && idle.length > 0;
 }
 
@@ -50,9 +53,9 @@
 }
 
 /**
- * Sends a call and resolves once the answer's headers have arrived. A reused connection may be
- * closing or deliver data of an earlier call; the call then fails with an unknown outcome. Rejects
- * with a `CallError` whose `execution` states whether the call may have run.
+ * Sends a call and resolves once the headers of its answer have arrived. A reused connection may be
+ * closing or deliver an answer of an earlier call; the call then fails with an unknown outcome.
+ * Rejects with a `CallError` whose `execution` states whether the call may have run.
  */
 export function exchangeWithEndpoint(
   call: EndpointCall,
@@ -83,14 +86,14 @@
       );
       return;
     }
-    const request = http.request({
-      ...address,
-      method,
-      path: target,
-      headers,
-      agent,
-      signal,
-    });
+    let request: http.ClientRequest;
+    try {
+      request = http.request({ ...address, method, path: target, headers, agent, signal });
+    } catch (error) {
+      // The address was checked, so the cause is a header or the target of the call.
+      reject(notForwardable(error));
+      return;
+    }
     const connectTimer = setTimeout(() => {
       request.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
     }, CONNECT_TIMEOUT_MS);
@@ -116,10 +119,14 @@
     request.on('response', (message) => {
       const status = message.statusCode ?? 0;
       const parsedHeaders = headerCodec.readAnswer(status, message.rawHeaders);
-      if (parsedHeaders.requestId !== undefined && parsedHeaders.requestId !== requestId) {
+      const isFinal = status >= LOWEST_FINAL_STATUS;
+      const mismatch = isFinal
+        ? mismatchOf(parsedHeaders.requestIds, requestId, request.reusedSocket)
+        : `it answered with status ${status}, which is not that of an answer`;
+      if (mismatch !== undefined) {
         message.on('error', () => undefined);
         request.destroy();
-        fail(`its answer belongs to another call, ${parsedHeaders.requestId}`);
+        fail(mismatch);
         return;
       }
       answerMessage = message;
@@ -133,7 +140,35 @@
       // Node.js treats a reset as the end of a body without a declared length.
       if (answerMessage && !answerMessage.complete) answerMessage.destroy(error);
     });
-    request.on('close', () => clearTimeout(connectTimer));
+    request.on('upgrade', (_, socket) => {
+      socket.destroy();
+      fail('it switched to another protocol, which was not requested');
+    });
+    request.on('close', () => {
+      clearTimeout(connectTimer);
+      fail('the connection closed without an answer');
+    });
     request.end(body);
   });
 }
+
+/**
+ * Returns why an answer can't be attributed to a call, undefined if it can. Only the first answer on
+ * a connection needs no id, as it can't belong to an earlier call.
+ */
+function mismatchOf(
+  answeredIds: string[],
+  requestId: string,
+  isReused: boolean,
+): string | undefined {
+  const otherId = answeredIds.find((id) => id !== requestId);
+  if (otherId !== undefined) return `its answer belongs to another call, "${otherId}"`;
+  if (!isReused || answeredIds.length > 0) return undefined;
+  return 'its answer names no call and may belong to an earlier one on the connection';
+}
+
+function notForwardable(error: unknown): CallError {
+  const reason = error instanceof Error ? error.message : String(error);
+  const message = `the request can't be forwarded: ${reason}; correct its headers or target`;
+  return new CallError({ kind: 'invalid-request', message });
+}
