Choice of an endpoint: one pass over the service's endpoints

Cause: each choice copied all endpoints of all services, filtered, copied and sorted those of the service, looked up the idle connection of each, and read the clock twice for each; the check for hopeless calls did the first half of it again, for each call. Change: the directory indexes endpoints by service; ties are broken while the lowest cost is searched, each tied endpoint with the same probability; the clock is read once; the check for hopeless calls ends at the first endpoint whose expected wait is short enough. The cost of a choice grows with the endpoints of the service only.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -96,7 +96,9 @@
 
   /** Throws `overloaded` if no endpoint can answer the call before its deadline. */
   private refuseIfHopeless(request: CallerRequest, outgoing: OutgoingCall): void {
-    const waitMs = this.options.choice.shortestWaitMs(outgoing.service);
+    const { choice, clock } = this.options;
+    if (choice.hasWaitWithin(outgoing.service, remainingMs(request, clock))) return;
+    const waitMs = choice.shortestWaitMs(outgoing.service);
     if (!isHopeless(waitMs, this.refusalOf(request))) return;
     throw this.overloaded(
       `the expected wait of ${Math.round(waitMs)} ms at service ${outgoing.service} exceeds the time left`,
--- a/packages/gateway/src/endpointChoice.ts
+++ b/packages/gateway/src/endpointChoice.ts
@@ -4,6 +4,7 @@
   type ChoiceRequest,
   EndpointDirectory,
   type EndpointView,
+  expectedWaitMs,
   shortestWaitMs,
 } from '@marjorampin/routing';
 import { type Clock, type Endpoint, incarnationKey } from '@marjorampin/types';
@@ -36,6 +37,8 @@
   suspectRank?: number | undefined;
 }
 
+const NONE_TRIED = new Set<string>();
+
 /** Cost parameters for the choice between engines, in milliseconds. */
 const ENGINE_COSTS: ChoiceOptions = {
   prefillMsPerToken: 0.02,
@@ -64,6 +67,14 @@
 
   private readonly rateLimits: RateLimits;
 
+  /** Looked up only for the endpoints whose cost is computed. */
+  private readonly connectedEndpoints = {
+    has: (id: string) => {
+      const view = this.directory.get(id);
+      return view !== undefined && hasIdleConnection(view.endpoint);
+    },
+  };
+
   constructor({ clock, domain, rateLimits, random = Math.random }: EndpointChoiceOptions) {
     this.clock = clock;
     this.domain = domain;
@@ -76,24 +87,17 @@
   choose(requirements: EndpointRequirements): Endpoint | undefined {
     const { service, warmEndpoint, contextTokens, triedIds, mayReuseConnection, suspectRank } =
       requirements;
-    const views = this.directory
-      .available(service)
-      .filter(({ endpoint }) => !triedIds.has(endpoint.id))
-      .map((view) => this.currentView(view));
+    const views = this.currentViews(service, triedIds);
     if (suspectRank !== undefined) return endpointOfRank(views, suspectRank);
-    // With equal costs, a fixed order would send the calls of all entries to the same endpoint.
-    const shuffled = views
-      .map((view) => ({ view, order: this.random() }))
-      .sort((a, b) => a.order - b.order)
-      .map(({ view }) => view);
     const request: ChoiceRequest = {
       warmEndpoint,
       contextTokens,
       wastedCachePriceMs: 0,
       domain: this.domain,
     };
-    if (mayReuseConnection) request.connectedEndpoints = idsWithIdleConnection(views);
-    return chooseEndpoint(shuffled, request, ENGINE_COSTS)?.endpoint;
+    if (mayReuseConnection) request.connectedEndpoints = this.connectedEndpoints;
+    // With equal costs, a fixed order would send the calls of all entries to the same endpoint.
+    return chooseEndpoint(views, request, ENGINE_COSTS, this.random)?.endpoint;
   }
 
   /** Returns an endpoint, as leaving also if only its answers say so; undefined if not registered. */
@@ -104,7 +108,7 @@
 
   /** Returns the numbers of endpoints of a service. */
   countEndpoints(service: string): EndpointCounts {
-    const views = this.directory.all().filter(({ endpoint }) => endpoint.service === service);
+    const views = this.directory.ofService(service);
     const available = views.filter((view) => this.directory.isUsable(view));
     return { registered: views.length, available: available.length };
   }
@@ -117,8 +121,19 @@
 
   /** Returns the shortest expected wait at any endpoint of a service that may get new calls. */
   shortestWaitMs(service: string): number {
-    const views = this.directory.available(service).map((view) => this.currentView(view));
-    return shortestWaitMs(views, ENGINE_COSTS);
+    return shortestWaitMs(this.currentViews(service, NONE_TRIED), ENGINE_COSTS);
+  }
+
+  /** Returns whether the expected wait at some endpoint that may get new calls is at most `limitMs`. */
+  hasWaitWithin(service: string, limitMs: number): boolean {
+    const nowMs = this.clock.now();
+    return this.directory
+      .ofService(service)
+      .some(
+        (view) =>
+          this.directory.isUsable(view, nowMs) &&
+          expectedWaitMs(this.currentView(view, nowMs), ENGINE_COSTS) <= limitMs,
+      );
   }
 
   /** Updates an endpoint's load and availability from the status and headers of an answer. */
@@ -152,10 +167,21 @@
     if (crashed) this.directory.exclude(crashed.endpoint.id, CRASH_EXCLUSION_MS);
   }
 
+  /** Returns the endpoints of a service that may get new calls and were not tried. */
+  private currentViews(service: string, triedIds: Set<string>): EndpointView[] {
+    const nowMs = this.clock.now();
+    const views: EndpointView[] = [];
+    this.directory.ofService(service).forEach((view) => {
+      if (!this.directory.isUsable(view, nowMs) || triedIds.has(view.endpoint.id)) return;
+      views.push(this.currentView(view, nowMs));
+    });
+    return views;
+  }
+
   /** Returns a view without an outdated load report and with the wait for a permit. */
-  private currentView(view: EndpointView): EndpointView {
+  private currentView(view: EndpointView, nowMs: number): EndpointView {
     const permitWaitMs = this.rateLimits.expectedWaitMs(view.endpoint);
-    if (this.clock.now() - view.reportedAtMs < MAXIMUM_LOAD_AGE_MS) {
+    if (nowMs - view.reportedAtMs < MAXIMUM_LOAD_AGE_MS) {
       return permitWaitMs === view.permitWaitMs ? view : { ...view, permitWaitMs };
     }
     const load = { running: view.localRunning, queued: 0, cachedTokens: 0 };
@@ -168,8 +194,3 @@
   const endpoints = views.map(({ endpoint }) => endpoint).sort((a, b) => (a.id < b.id ? -1 : 1));
   return endpoints[rank % endpoints.length];
 }
-
-function idsWithIdleConnection(views: EndpointView[]): Set<string> {
-  const endpoints = views.map(({ endpoint }) => endpoint);
-  return new Set(endpoints.filter(hasIdleConnection).map(({ id }) => id));
-}
--- a/packages/routing/src/chooseEndpoint.ts
+++ b/packages/routing/src/chooseEndpoint.ts
@@ -14,7 +14,7 @@
   /** Failure domain of the caller's entry; undefined to ignore the distance to endpoints. */
   domain?: string;
   /** Ids of endpoints with an idle connection for the call; undefined to ignore connection costs. */
-  connectedEndpoints?: Set<string>;
+  connectedEndpoints?: Pick<Set<string>, 'has'>;
 }
 
 /** Cost parameters, and switches with which an ablation disables single terms of the cost. */
@@ -100,21 +100,36 @@
   return waitMs + rebuildMs + priceMs;
 }
 
-/** Returns the endpoint with the lowest expected cost, the first of `views` on a tie. */
+/** Returns the milliseconds per token of the fastest endpoint that was measured; 0 if none was. */
+function fastestOf(views: readonly EndpointView[]): number {
+  let fastest = Infinity;
+  views.forEach(({ msPerToken }) => {
+    if (msPerToken > 0 && msPerToken < fastest) fastest = msPerToken;
+  });
+  return fastest === Infinity ? 0 : fastest;
+}
+
+/**
+ * Returns the endpoint with the lowest expected cost. On a tie, this is the first of `views`, or with
+ * `random`, each of the tied ones with the same probability.
+ */
 export function chooseEndpoint(
-  views: EndpointView[],
+  views: readonly EndpointView[],
   request: ChoiceRequest,
   options: ChoiceOptions = {},
+  random?: () => number,
 ): EndpointView | undefined {
-  const knownMsPerToken = views
-    .map(({ msPerToken }) => msPerToken)
-    .filter((measured) => measured > 0);
-  const fastestMsPerToken = knownMsPerToken.length > 0 ? Math.min(...knownMsPerToken) : 0;
+  const fastestMsPerToken = fastestOf(views);
   let best: EndpointView | undefined;
   let lowestCostMs = Infinity;
+  let tied = 0;
   views.forEach((view) => {
     const costMs = expectedCostMs(view, request, fastestMsPerToken, options);
-    if (costMs >= lowestCostMs) return;
+    if (costMs < lowestCostMs) tied = 1;
+    else if (random && costMs === lowestCostMs) tied += 1;
+    else return;
+    // The n-th of tied endpoints replaces the one chosen before with the probability 1/n.
+    if (tied > 1 && random && random() * tied >= 1) return;
     best = view;
     lowestCostMs = costMs;
   });
--- a/packages/routing/src/endpointDirectory.ts
+++ b/packages/routing/src/endpointDirectory.ts
@@ -40,6 +40,9 @@
 
   private readonly views = new Map<string, EndpointView>();
 
+  /** The same views by service. */
+  private viewsByService = new Map<string, EndpointView[]>();
+
   /** Incarnations that announced that they are leaving, by endpoint id. The registration of such an
    * endpoint can disappear and return, for example after an outage of the store. */
   private readonly leavingIncarnations = new Map<string, string>();
@@ -64,6 +67,7 @@
       if (!registeredIds.has(id)) this.views.delete(id);
     });
     endpoints.forEach((endpoint) => this.updateEndpoint(endpoint));
+    this.viewsByService = viewsByService(this.views.values());
   }
 
   /** Records a load report. An endpoint that was reported as leaving stays so. */
@@ -83,14 +87,18 @@
 
   /** Returns the endpoints of a service that may get new calls. */
   available(service: string): EndpointView[] {
-    return [...this.views.values()].filter(
-      (view) => view.endpoint.service === service && this.isUsable(view),
-    );
+    const nowMs = this.clock.now();
+    return this.ofService(service).filter((view) => this.isUsable(view, nowMs));
   }
 
   /** Returns whether an endpoint may get new calls: it is neither leaving nor excluded. */
-  isUsable({ isLeaving, excludedUntilMs }: EndpointView): boolean {
-    return !isLeaving && excludedUntilMs <= this.clock.now();
+  isUsable({ isLeaving, excludedUntilMs }: EndpointView, nowMs = this.clock.now()): boolean {
+    return !isLeaving && excludedUntilMs <= nowMs;
+  }
+
+  /** Returns the registered endpoints of a service. */
+  ofService(service: string): readonly EndpointView[] {
+    return this.viewsByService.get(service) ?? [];
   }
 
   /** Returns the state of all registered endpoints. */
@@ -155,3 +163,14 @@
     });
   }
 }
+
+function viewsByService(views: Iterable<EndpointView>): Map<string, EndpointView[]> {
+  const grouped = new Map<string, EndpointView[]>();
+  [...views].forEach((view) => {
+    const { service } = view.endpoint;
+    const group = grouped.get(service);
+    if (group) group.push(view);
+    else grouped.set(service, [view]);
+  });
+  return grouped;
+}
