Bodies are read by events instead of async iterators

Requests without a body were read as well. Change: `readChunks` passes chunks to a handler and pauses the message only while the handler waits for the caller. A request without a body is not read. Interruptions, the size limit and the order of events are handled as before; chunks after an interruption are not passed on, as before.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import { type AnswerFraming, framingOf, MAXIMUM_ANSWER_BYTES } from '@marjorampin/http';
 import { EventBoundary } from './eventBoundary';
+import { type ChunkHandler, readChunks } from './messageChunks';
 
 /** How a body ended, or `unread` until it has; `inside-event`: in order, but within an event or, if
  * only the connection marks the end, before the first event. */
@@ -44,15 +45,20 @@
     return this.reachedEnding;
   }
 
-  /** Reads the body; throws when the answer is interrupted. */
-  async *[Symbol.asyncIterator](): AsyncGenerator<Buffer> {
-    const { message, boundary } = this;
+  /** Reads the body; rejects when the answer is interrupted or `onChunk` fails. */
+  async read(onChunk: ChunkHandler): Promise<void> {
+    const { message } = this;
     this.reachedEnding = 'interrupted';
-    for await (const chunk of message) {
-      this.receivedBytes += (chunk as Buffer).length;
-      this.checkSize();
-      boundary?.read(chunk as Buffer);
-      yield chunk as Buffer;
+    try {
+      await readChunks(message, (chunk) => {
+        this.receivedBytes += chunk.length;
+        this.checkSize();
+        this.boundary?.read(chunk);
+        return onChunk(chunk);
+      });
+    } catch (error) {
+      message.destroy();
+      throw error;
     }
     if (!message.complete) throw new Error('the connection closed prematurely');
     if (this.endsInsideEvent()) {
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -24,14 +24,14 @@
   const { status, headers, body } = answer;
   let buffered: Buffer[] = [];
   try {
-    for await (const chunk of body) {
+    await body.read((chunk) => {
       buffered.push(chunk);
-      if (body.bytes > MAXIMUM_BUFFERED_BYTES) {
-        if (!response.headersSent) response.writeHead(status, headerCodec.writeAnswer(headers));
-        await writeToCaller(response, Buffer.concat(buffered));
-        buffered = [];
-      }
-    }
+      if (body.bytes <= MAXIMUM_BUFFERED_BYTES) return undefined;
+      if (!response.headersSent) response.writeHead(status, headerCodec.writeAnswer(headers));
+      const bytes = Buffer.concat(buffered);
+      buffered = [];
+      return writeToCaller(response, bytes);
+    });
   } catch (error) {
     throw unreadableAnswer(error);
   }
@@ -53,9 +53,14 @@
   response.end(body);
 }
 
-/** Writes bytes and waits until the caller accepts more, or has disconnected. */
-async function writeToCaller(response: http.ServerResponse, bytes: Buffer): Promise<void> {
-  if (response.write(bytes) || response.destroyed) return;
+/** Writes bytes; returns a promise if the caller does not accept more yet, which is fulfilled once it
+ * does or has disconnected. */
+function writeToCaller(response: http.ServerResponse, bytes: Buffer): Promise<void> | undefined {
+  if (response.write(bytes) || response.destroyed) return undefined;
+  return waitForCaller(response);
+}
+
+async function waitForCaller(response: http.ServerResponse): Promise<void> {
   await Promise.race([once(response, 'drain'), once(response, 'close')]);
 }
 
@@ -88,15 +93,13 @@
   if (!response.headersSent) response.writeHead(status, streamHeaders(answer, headerCodec));
   else if (status !== 200) throw notContinued(answer);
   const events = isResumable ? new WholeEvents() : undefined;
-  const pass = async (bytes: Buffer) => {
-    if (bytes.length === 0) return;
-    onBytes(bytes);
-    await writeToCaller(response, bytes);
-  };
   try {
-    for await (const chunk of body) {
-      await pass(events ? events.next(chunk) : chunk);
-    }
+    await body.read((chunk) => {
+      const bytes = events ? events.next(chunk) : chunk;
+      if (bytes.length === 0) return undefined;
+      onBytes(bytes);
+      return writeToCaller(response, bytes);
+    });
   } catch (error) {
     throw unreadableAnswer(error);
   }
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -4,6 +4,9 @@
 import type { CallTrace } from './callTrace';
 import type { CallHeaders } from './headerCodec';
 import type { CallInput } from './callInput';
+import { readChunks } from './messageChunks';
+
+const NO_BODY = Buffer.alloc(0);
 
 /** A caller's call while it is handled. */
 export interface CallerRequest {
@@ -33,7 +36,9 @@
       kind: 'too-large',
       message: `the request body exceeds ${bodyBytes} bytes; send a smaller one`,
     });
-  if (Number(message.headers['content-length'] ?? 0) > bodyBytes) throw tooLarge();
+  const declaredBytes = Number(message.headers['content-length'] ?? 0);
+  if (declaredBytes > bodyBytes) throw tooLarge();
+  if (declaredBytes === 0 && message.headers['transfer-encoding'] === undefined) return NO_BODY;
   const chunks: Buffer[] = [];
   let bytes = 0;
   const idle = setTimeout(
@@ -41,12 +46,13 @@
     idleTimeoutMs,
   );
   try {
-    for await (const chunk of message) {
+    await readChunks(message, (chunk) => {
       idle.refresh();
-      bytes += (chunk as Buffer).length;
+      bytes += chunk.length;
       if (bytes > bodyBytes) throw tooLarge();
-      chunks.push(chunk as Buffer);
-    }
+      chunks.push(chunk);
+      return undefined;
+    });
   } finally {
     clearTimeout(idle);
   }
