Events: a decoder and a parser only where they are needed

Cause: each call created a parser of events and a decoder, which only resumable routes use; a decoder with state costs several microseconds to create and for each event; each event was copied twice to remember its last bytes. Change: calls of other routes create none; chunks of ASCII are converted without a decoder, the first other chunk creates one that continues as before; the last bytes are a view of the chunk.

--- a/packages/gateway/src/callForwarder.ts
+++ b/packages/gateway/src/callForwarder.ts
@@ -22,11 +22,12 @@
     const service = pickService(route.destinations, Math.random()) ?? '';
     const { promptTokens: contextTokens } = callHeaders;
     const { isResumable } = route;
-    const events = new EventReader();
-    const lastEventId = () => events.lastEventId;
+    // A parser costs as much as several other steps of a call.
+    const events = isResumable ? new EventReader() : undefined;
+    const lastEventId = () => events?.lastEventId;
     const outgoing = { service, body, warmEndpoint: '', contextTokens, lastEventId };
-    const onBytes = (bytes: Buffer) => events.read(bytes);
-    const relayOptions = isResumable ? { isResumable, onBytes } : { isResumable };
+    const onBytes = (bytes: Buffer) => events?.read(bytes);
+    const relayOptions = { isResumable, onBytes };
     await this.attempts.run(request, outgoing, async (answer) => {
       const isFailure = answer.status !== 200 && !response.headersSent;
       if (route.kind !== 'stream' || isFailure) {
--- a/packages/gateway/src/eventBoundary.ts
+++ b/packages/gateway/src/eventBoundary.ts
@@ -12,7 +12,8 @@
   /** Reads the next chunk of the stream. */
   read(chunk: Buffer): void {
     const end = chunk.subarray(-EVENT_END_LENGTH);
-    this.tail = Buffer.concat([this.tail, end]).subarray(-EVENT_END_LENGTH);
+    const isEnough = end.length === EVENT_END_LENGTH;
+    this.tail = isEnough ? end : Buffer.concat([this.tail, end]).subarray(-EVENT_END_LENGTH);
   }
 
   /** Whether the latest event has begun but is incomplete. */
--- a/packages/gateway/src/eventReader.ts
+++ b/packages/gateway/src/eventReader.ts
@@ -1,9 +1,13 @@
+import { isAscii } from 'node:buffer';
 import { createParser, type EventSourceParser } from 'eventsource-parser';
 import { EventBoundary } from './eventBoundary';
 
 /** Parses a stream of server-sent events: collects their data and counts those begun. */
 export class EventReader {
-  private readonly decoder = new TextDecoder();
+  /** Undefined until a chunk contains other characters than those of ASCII. */
+  private decoder: InstanceType<typeof TextDecoder> | undefined;
+
+  private hasRead = false;
 
   private readonly parser: EventSourceParser;
 
@@ -24,7 +28,8 @@
 
   /** Parses the next chunk of the stream. */
   read(chunk: Buffer): void {
-    this.parser.feed(this.decoder.decode(chunk, { stream: true }));
+    this.parser.feed(this.decode(chunk));
+    this.hasRead ||= chunk.length > 0;
     this.boundary.read(chunk);
   }
 
@@ -42,4 +47,11 @@
   get output(): Buffer {
     return Buffer.from(this.data.map((text) => `${text}\n`).join(''));
   }
+
+  private decode(chunk: Buffer): string {
+    if (!this.decoder && isAscii(chunk)) return chunk.toString('latin1');
+    // A byte order mark is dropped only at the start of the stream.
+    this.decoder ??= new TextDecoder('utf-8', { ignoreBOM: this.hasRead });
+    return this.decoder.decode(chunk, { stream: true });
+  }
 }
