--- a/packages/gateway/src/__tests__/answerRelay.test.ts
+++ b/packages/gateway/src/__tests__/answerRelay.test.ts
@@ -45,5 +45,5 @@
   response.write('full');
   const written = write(response, 'x');
   response.destroy(new Error('broken'));
-  await assert.rejects(written, /broken/);
+  await assert.rejects(async () => written, /broken/);
 });
