Tests of keepers: a loopback address for each process

Seen once beside load: EADDRINUSE in 'a wiped keeper is not complete before the roster lists its new disk'. Cause, by reading: a keeper restarts at the port that the system chose for it before, which another process that listens on 127.0.0.1 may have taken meanwhile. Change: each test process uses an address of its own.

--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -15,6 +15,12 @@
 
 const clock = new SystemClock();
 
+const OCTET = 256;
+const { pid } = process;
+/** Loopback address that only this process uses: on a shared one, another process may take the port of
+ * a keeper while it restarts. */
+const HOST = `127.64.${Math.floor(pid / OCTET) % OCTET}.${1 + (pid % (OCTET - 2))}`;
+
 class ClientHandler extends PeerHandler {
   override async handle(): Promise<Reply> {
     throw new Error('the client handles no requests');
@@ -67,10 +73,10 @@
     const existing = this.keepers.get(id);
     const folder = existing?.folder ?? (await mkdtemp(join(tmpdir(), 'keeper-')));
     const orders = existing?.orders ?? new TestRetirementOrders();
-    const process = new KeeperProcess({
+    const keeperProcess = new KeeperProcess({
       id,
       domain: id,
-      address: { host: '127.0.0.1', port: existing?.port ?? 0 },
+      address: { host: HOST, port: existing?.port ?? 0 },
       folder,
       isFirstStart,
       lossLimit: 1,
@@ -81,8 +87,8 @@
       log: this.log,
       metrics: new Metrics(),
     });
-    const port = await process.start();
-    const keeper = { process, folder, orders, port };
+    const port = await keeperProcess.start();
+    const keeper = { process: keeperProcess, folder, orders, port };
     this.keepers.set(id, keeper);
     return keeper;
   }
