Shared connections are placed anew every two seconds; relaying counts with its measured cost

With real processes (harness, two entries in one domain, callers that keep their connections), the small entry served 96 in 100 turns itself. Cause: each request cost an accept, a connect and two closes, kept connections were never placed again, and relaying costs about half of serving (2.5 of 5.6 ms a turn), not a fifth.

Change: relayed connections, and own ones of entries that relay others, are closed with the first answer after two seconds; relaying counts with 2 ms against 4 ms. The model has a pattern in which relaying costs more than assumed.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -3,7 +3,7 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import type { CallerLimits } from '@marjorampin/routing';
-import type { PeerAddress } from '@marjorampin/types';
+import type { Clock, PeerAddress } from '@marjorampin/types';
 import { ConnectionRelay, type RelayTarget } from './connectionRelay';
 
 /** Limit of the HTTP parser on headers; the configured limit is checked after parsing. */
@@ -15,6 +15,12 @@
 /** Limits until the first configuration arrives. */
 const INITIAL_LIMITS = { headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
 
+/** Time after which a connection that could be served elsewhere is closed with the next answer, so that
+ * the caller's next one is placed anew. */
+const PLACEMENT_LIFETIME_MS = 2_000;
+/** Time after which a relayed connection without a request is closed. */
+const RELAYED_IDLE_MS = 2_000;
+
 /** Statuses of requests that the parser rejects, by its error code; 400 for all other codes. */
 const MALFORMED_STATUS: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -27,6 +33,8 @@
   relayAddress: PeerAddress;
   /** Returns the entry that should serve a new connection; undefined for this one. */
   place(): RelayTarget | undefined;
+  /** Returns whether this entry serves all connections that callers open to it. */
+  servesAll(): boolean;
   /** Called with the id of an entry that could not be reached. */
   exclude(id: string): void;
 }
@@ -39,6 +47,7 @@
   readyAddress: PeerAddress;
   log: EventLog;
   metrics: Metrics;
+  clock: Clock;
   /** Absent if this entry serves all its callers by itself. */
   sharing?: ConnectionSharing | undefined;
   serve(message: http.IncomingMessage, response: http.ServerResponse): void;
@@ -59,6 +68,9 @@
   /** Callers' connections that this entry accepted itself and serves. */
   private readonly ownConnections = new WeakSet<Socket>();
 
+  /** Time at which each connection that this entry serves was opened. */
+  private readonly openedAtMs = new WeakMap<Socket, number>();
+
   private readonly relay: ConnectionRelay;
 
   private accepted = 0;
@@ -76,7 +88,10 @@
       },
       (message, response) => options.serve(message, response),
     );
-    this.server.on('connection', () => options.metrics.count('gateway_connections_total'));
+    this.server.on('connection', (socket) => {
+      options.metrics.count('gateway_connections_total');
+      this.openedAtMs.set(socket, options.clock.now());
+    });
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket as Socket));
     this.applyLimits(INITIAL_LIMITS);
     const { log, metrics, sharing } = options;
@@ -124,9 +139,15 @@
     return this.relay.activeCount;
   }
 
-  /** Returns whether another entry relays the connection. */
-  isRelayed(socket: Socket): boolean {
-    return this.placingServer !== undefined && !this.ownConnections.has(socket);
+  /** Prepares the answer to a request on a connection that callers share with other entries. */
+  limitConnection(socket: Socket, response: http.ServerResponse): void {
+    const { sharing, clock } = this.options;
+    if (!sharing) return;
+    const isRelayed = !this.ownConnections.has(socket);
+    const ageMs = clock.now() - (this.openedAtMs.get(socket) ?? 0);
+    const isPlacedAnew = ageMs > PLACEMENT_LIFETIME_MS && (isRelayed || !sharing.servesAll());
+    if (isPlacedAnew) response.shouldKeepAlive = false;
+    else if (isRelayed) response.once('finish', () => socket.setTimeout(RELAYED_IDLE_MS));
   }
 
   /** Stops listening and closes all connections. */
--- a/packages/gateway/src/connectionRelay.ts
+++ b/packages/gateway/src/connectionRelay.ts
@@ -92,21 +92,23 @@
 
 /** Passes on everything between a caller and the entry that serves it. */
 function joinSockets(caller: net.Socket, entry: net.Socket): void {
-  let isAnswered = false;
-  entry.once('data', () => {
-    isAnswered = true;
+  /** Whether nothing of the answer to the latest request has arrived. */
+  let isUnanswered = false;
+  forwardData(caller, entry, () => {
+    isUnanswered = true;
+  });
+  forwardData(entry, caller, () => {
+    isUnanswered = false;
   });
-  forwardData(caller, entry);
-  forwardData(entry, caller);
   caller.on('end', () => entry.end());
   caller.on('close', (hadError) => {
     if (hadError) entry.resetAndDestroy();
     else entry.end();
   });
   const closeCaller = (hadError: boolean) => {
-    if (!isAnswered && caller.bytesRead > 0) caller.write(FAILED_ANSWER);
+    if (isUnanswered) caller.write(FAILED_ANSWER);
     // Without a length or chunks, an orderly end would make an interrupted answer look complete.
-    if (isAnswered && hadError) caller.resetAndDestroy();
+    if (!isUnanswered && hadError) caller.resetAndDestroy();
     else caller.destroySoon();
   };
   entry.on('end', () => closeCaller(false));
@@ -115,9 +117,10 @@
 }
 
 /** Passes on the data of one connection to another, as fast as that accepts it. */
-function forwardData(source: net.Socket, sink: net.Socket): void {
+function forwardData(source: net.Socket, sink: net.Socket, onData: () => void): void {
   source.on('error', () => undefined);
   source.on('data', (bytes) => {
+    onData();
     if (!sink.write(bytes)) source.pause();
   });
   sink.on('drain', () => source.resume());
--- a/packages/placement/src/__tests__/simulatedDomain.ts
+++ b/packages/placement/src/__tests__/simulatedDomain.ts
@@ -2,9 +2,9 @@
 import { placeConnection, type PlacementLoad } from '../placeConnection';
 import { SmoothedValue } from '../smoothedValue';
 
-/** Processor time of a call on a whole core, and of relaying one. */
-const SERVICE_MS = 5;
-const RELAY_MS = 1;
+/** Usual processor time of a call on a whole core, and of relaying one. */
+const SERVICE_MS = 4;
+const RELAY_MS = 2;
 const REPORT_INTERVAL_MS = 500;
 /** Time after which an answer is late. */
 const OBJECTIVE_MS = 250;
@@ -23,6 +23,8 @@
   hosts: SimulatedHost[];
   durationS: number;
   seed: string;
+  /** Processor time of relaying a call on a whole core. */
+  relayMs?: number;
   /** Calls per second of all callers at a time in seconds. */
   callsPerSecond(atS: number): number;
   /** Whether an entry serves at a time in seconds; always by default. */
@@ -84,6 +86,7 @@
   durationS,
   seed,
   callsPerSecond,
+  relayMs = RELAY_MS,
   isUp = () => true,
 }: SimulationOptions): SimulationResult {
   const random = seedrandom(seed);
@@ -115,7 +118,8 @@
     entries[accepting]!.connections += 1;
     const others = reported.filter((_, index) => index !== accepting && isUp(index, atS));
     const target = placeConnection(loadOf(entries[accepting]!, accepting), others, random());
-    const answeredAtMs = serve(entries, accepting, target ? Number(target.id) : accepting, nowMs);
+    const serving = target ? Number(target.id) : accepting;
+    const answeredAtMs = serve(entries, { accepting, serving, nowMs, relayMs });
     calls += 1;
     timely += answeredAtMs - nowMs <= OBJECTIVE_MS ? 1 : 0;
     relayed += target ? 1 : 0;
@@ -123,14 +127,14 @@
   return { timelyShare: timely / calls, relayedShare: relayed / calls, maximumUtilization };
 }
 
+/** Returns when a call is answered. */
 function serve(
   entries: SimulatedEntry[],
-  accepting: number,
-  serving: number,
-  nowMs: number,
+  call: { accepting: number; serving: number; nowMs: number; relayMs: number },
 ): number {
+  const { accepting, serving, nowMs, relayMs } = call;
   if (serving === accepting) return entries[accepting]!.work(nowMs, SERVICE_MS);
-  const relayedAtMs = entries[accepting]!.work(nowMs, RELAY_MS);
+  const relayedAtMs = entries[accepting]!.work(nowMs, relayMs);
   return entries[serving]!.work(relayedAtMs, SERVICE_MS);
 }
 
--- a/packages/placement/src/__tests__/unevenHosts.test.ts
+++ b/packages/placement/src/__tests__/unevenHosts.test.ts
@@ -20,6 +20,12 @@
     hosts: UNEVEN,
     callsPerSecond: (atS: number) => (atS > 5 && atS < 11 ? 520 : 250),
   },
+  {
+    name: 'relaying costs half as much again as assumed',
+    hosts: UNEVEN,
+    relayMs: 3,
+    callsPerSecond: (atS: number) => (atS > 5 && atS < 11 ? 400 : 250),
+  },
   {
     name: 'a large host is lost during a burst',
     hosts: UNEVEN,
--- a/packages/placement/src/loadExchange.ts
+++ b/packages/placement/src/loadExchange.ts
@@ -2,7 +2,7 @@
 import type { EntryLoad, Keeper, Reply, RequestBody } from '@marjorampin/protocol';
 import { type Clock, parsePeerAddress, type PeerAddress } from '@marjorampin/types';
 import { REPORT_LIFETIME_MS } from './loadTable';
-import { placeConnection, type PlacementLoad } from './placeConnection';
+import { placeConnection, type PlacementLoad, servesAll } from './placeConnection';
 import { SmoothedValue } from './smoothedValue';
 
 /** Time between two reports. */
@@ -107,6 +107,12 @@
     return address && { id: chosen.id, address };
   }
 
+  /** Whether this entry serves all connections that callers open to it. */
+  get servesAll(): boolean {
+    if (!this.readState) return true;
+    return servesAll(this.ownLoad(this.readState()), this.usableLoads());
+  }
+
   /** Excludes an entry that could not be reached. */
   exclude(id: string): void {
     this.excludedUntilMs.set(id, this.options.clock.now() + EXCLUSION_MS);
--- a/packages/placement/src/placeConnection.ts
+++ b/packages/placement/src/placeConnection.ts
@@ -4,10 +4,10 @@
 export type PlacementLoad = Omit<EntryLoad, '$typeName' | '$unknown'>;
 
 /** Processor time, on a whole core, of serving the calls of one connection, and of relaying them. */
-const SERVICE_MS = 5;
-const RELAY_MS = 1;
+const SERVICE_MS = 4;
+const RELAY_MS = 2;
 /** Smallest gain in expected time for which a connection is relayed. */
-const MINIMUM_GAIN_MS = 5;
+const MINIMUM_GAIN_MS = 3;
 /** Share of its capacity that even a saturated entry is assumed to have left. */
 const MINIMUM_SPARE_SHARE = 0.05;
 /** Utilization above which an entry counts with less than its capacity. */
@@ -39,18 +39,26 @@
   random: number,
 ): T | undefined {
   const usable = others.filter((other) => canServe(other, self));
-  const all = [self, ...usable];
-  const totalRate = sumOf(all, demandOf);
-  const meanDemand = totalRate / sumOf(all, ({ capacity }) => capacity);
-  const totalCapacity = sumOf(all, (load) => serviceCapacity(load, meanDemand));
-  const partOf = (load: PlacementLoad) =>
-    (totalRate * serviceCapacity(load, meanDemand)) / totalCapacity;
-  const keptShare = partOf(self) / demandOf(self);
-  if (random < keptShare) return undefined;
+  const partOf = partsOf([self, ...usable]);
+  const share = partOf(self) / demandOf(self);
+  if (random < share) return undefined;
   const candidates = usable
     .filter((load) => gainMs(self, load) > MINIMUM_GAIN_MS)
     .map((load) => ({ load, deficit: Math.max(0, partOf(load) - demandOf(load)) }));
-  return pickByDeficit(candidates, (random - keptShare) / (1 - keptShare));
+  return pickByDeficit(candidates, (random - share) / (1 - share));
+}
+
+/** Returns whether `placeConnection` lets an entry serve all connections that callers open to it. */
+export function servesAll(self: PlacementLoad, others: PlacementLoad[]): boolean {
+  return placeConnection(self, others, 1 - Number.EPSILON) === undefined;
+}
+
+/** Returns a function that returns the connections per second which each entry should serve. */
+function partsOf(loads: PlacementLoad[]): (load: PlacementLoad) => number {
+  const totalRate = sumOf(loads, demandOf);
+  const meanDemand = totalRate / sumOf(loads, ({ capacity }) => capacity);
+  const totalCapacity = sumOf(loads, (load) => serviceCapacity(load, meanDemand));
+  return (load) => (totalRate * serviceCapacity(load, meanDemand)) / totalCapacity;
 }
 
 function pickByDeficit<T>(candidates: Candidate<T>[], position: number): T | undefined {
