Quarantine: no digest for targets of answered calls

Cause: each answered call computed the digest of its target only to remember in this process that the target was answered. Change: targets of up to 128 characters with host and method are remembered as text, longer ones by their digest as before, so that 10,000 of them stay within a few megabytes.

--- a/packages/gateway/src/callInput.ts
+++ b/packages/gateway/src/callInput.ts
@@ -1,5 +1,8 @@
 import { inputDigest, type RequestInput, targetDigest } from '@marjorampin/quarantine';
 
+/** Length of the longest target, in characters, that identifies itself; longer ones take up memory. */
+const MAXIMUM_KEY_LENGTH = 128;
+
 /** The caller's input of a call; its digests are computed when they are first needed. */
 export class CallInput {
   private readonly input: RequestInput;
@@ -24,6 +27,13 @@
     return this.computedTarget;
   }
 
+  /** Identifies the target within this process; a digest of each would cost more time. */
+  get targetKey(): string {
+    const { host, method, target } = this.input;
+    const text = `${host.toLowerCase()} ${method} ${target}`;
+    return text.length <= MAXIMUM_KEY_LENGTH ? text : this.target;
+  }
+
   /** Digests of the input and of its target. */
   get digests(): string[] {
     return [this.digest, this.target];
--- a/packages/gateway/src/suspectCalls.ts
+++ b/packages/gateway/src/suspectCalls.ts
@@ -48,7 +48,7 @@
   /** Suspected inputs and targets in progress. */
   private readonly running = new Set<string>();
 
-  /** Digests of the targets of answered calls, least recently used first. */
+  /** Keys of the targets of answered calls, least recently used first. */
   private readonly answeredTargets = new Set<string>();
 
   constructor({ quarantine, metrics }: SuspectCallsOptions) {
@@ -102,8 +102,9 @@
 
   /** Records that an input ran to an answer. */
   recordAnswer(input: CallInput): void {
-    this.answeredTargets.delete(input.target);
-    this.answeredTargets.add(input.target);
+    const { targetKey } = input;
+    this.answeredTargets.delete(targetKey);
+    this.answeredTargets.add(targetKey);
     const [oldest] = this.answeredTargets;
     if (this.answeredTargets.size > MAXIMUM_TARGETS && oldest !== undefined) {
       this.answeredTargets.delete(oldest);
@@ -115,8 +116,8 @@
    * Returns a call as a suspect of a crash. Its target is suspected only if no other call with it was
    * answered: many targets, such as that of a model, are shared by innocent calls.
    */
-  suspectOf({ digest, target }: CallInput, route: string): Suspect {
-    return this.answeredTargets.has(target) ? { digest, route } : { digest, target, route };
+  suspectOf({ digest, target, targetKey }: CallInput, route: string): Suspect {
+    return this.answeredTargets.has(targetKey) ? { digest, route } : { digest, target, route };
   }
 
   private count(service: string, reason: HoldReason): void {
