--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -122,7 +122,7 @@
 
 /** Returns the tokens of the events that were passed on to the caller. */
 function usedTokens({ events, tokensPerEvent }: OpenTurn): number {
-  return events.startedCount * tokensPerEvent;
+  return Math.ceil(events.startedCount * tokensPerEvent);
 }
 
 function createTurnRecord(turn: OpenTurn, endpoint: Endpoint): TurnRecord {
--- a/packages/types/src/clock.ts
+++ b/packages/types/src/clock.ts
@@ -1,5 +1,8 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
+/** Longest time of a timer of Node.js, 24.8 days; a longer one would end at once. */
+export const MAXIMUM_TIMER_MS = 2 ** 31 - 1;
+
 /** Source of time and timers; tests and simulations replace it with simulated clocks. */
 export abstract class Clock {
   /** Returns the milliseconds since an arbitrary start; monotonic. */
@@ -23,7 +26,7 @@
   }
 }
 
-/** Clock of the operating system. */
+/** Clock of the operating system. A wait ends after `MAXIMUM_TIMER_MS` at the latest. */
 export class SystemClock extends Clock {
   override now(): number {
     return performance.now();
@@ -34,11 +37,11 @@
   }
 
   override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    await delay(ms, undefined, { signal });
+    await delay(Math.min(ms, MAXIMUM_TIMER_MS), undefined, { signal });
   }
 
   override after(ms: number, callback: () => void): () => void {
-    const timer = setTimeout(callback, ms);
+    const timer = setTimeout(callback, Math.min(ms, MAXIMUM_TIMER_MS));
     return () => clearTimeout(timer);
   }
 }
