Own interface: one odd registration no longer ends the processes that read the list

Cause: entries parsed the registrations of endpoints and members, and the pages of the partition table, without a check. One value that is not JSON or has another shape ended every entry that read the list, and each again after its restart; ports out of range were taken as addresses.

Change: decodeValue checks a value against a schema. An endpoint or member needs an address to which a connection is possible, and the key of its id; others are ignored. A page that can't be read is ignored and written again from the last known assignments.

--- a/packages/entry/src/endpointDispatcher.ts
+++ b/packages/entry/src/endpointDispatcher.ts
@@ -1,6 +1,12 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
-import { ENDPOINT_PREFIX, type KeyValueStore, WatchedPrefix } from '@marjorampin/store';
+import {
+  decodeValue,
+  ENDPOINT_PREFIX,
+  type KeyValueStore,
+  type StoredValue,
+  WatchedPrefix,
+} from '@marjorampin/store';
 import type { PeerPool, Reply, RequestBody } from '@marjorampin/protocol';
 import {
   admitCall,
@@ -13,9 +19,11 @@
   CallError,
   type Clock,
   type Endpoint,
+  parsePeerAddress,
   type Priority,
   toCallError,
 } from '@marjorampin/types';
+import * as z from 'zod';
 
 /** Time that a call waits for an available endpoint before it is refused with `no-endpoint`. */
 const ENDPOINT_WAIT_TIMEOUT_MS = 1_500;
@@ -169,8 +177,8 @@
   }
 
   private updateDirectory(): void {
-    const endpoints = this.watchedEndpoints.all().map(({ value }) => JSON.parse(value) as Endpoint);
-    this.directory.update(endpoints);
+    const stored = this.watchedEndpoints.all();
+    this.directory.update(stored.flatMap((each) => decodeRegistration(each) ?? []));
   }
 }
 
@@ -178,3 +186,18 @@
   const message = `no endpoint of "${service}" is available; retry later, or start one`;
   return new CallError({ kind: 'no-endpoint', message, retryAfterMs: 2_000 });
 }
+
+const registration = z.object({
+  id: z.string(),
+  service: z.string(),
+  address: z.string().refine((text) => parsePeerAddress(text) !== undefined),
+  incarnation: z.string(),
+  domain: z.string(),
+  state: z.enum(['live', 'leaving']),
+});
+
+/** Decodes the registration of an endpoint; returns undefined if it describes none. */
+function decodeRegistration(stored: StoredValue): Endpoint | undefined {
+  const endpoint = decodeValue(stored, registration);
+  return endpoint && stored.key === `${ENDPOINT_PREFIX}${endpoint.id}` ? endpoint : undefined;
+}
--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -1,4 +1,6 @@
-import type { TokenedValue } from '@marjorampin/store';
+import { decodeValue, type StoredValue, type TokenedValue } from '@marjorampin/store';
+import { parsePeerAddress } from '@marjorampin/types';
+import * as z from 'zod';
 
 /** Prefix of the members' keys in the platform's key-value store. */
 export const MEMBER_PREFIX = 'members/';
@@ -20,3 +22,18 @@
 export function memberKey(id: string): string {
   return `${MEMBER_PREFIX}${id}`;
 }
+
+const memberSchema = z.object({
+  id: z.string(),
+  address: z.string().refine((text) => parsePeerAddress(text) !== undefined),
+  domain: z.string(),
+  incarnation: z.string(),
+  leaving: z.boolean(),
+  token: z.string().default(''),
+});
+
+/** Decodes the registration of a member; returns undefined if it describes none. */
+export function decodeMember(stored: StoredValue): Member | undefined {
+  const member = decodeValue(stored, memberSchema);
+  return member && memberKey(member.id) === stored.key ? member : undefined;
+}
--- a/packages/membership/src/memberDirectory.ts
+++ b/packages/membership/src/memberDirectory.ts
@@ -1,6 +1,6 @@
 import { compareAndSwapWithReadBack, type KeyValueStore, WatchedPrefix } from '@marjorampin/store';
 import type { Clock } from '@marjorampin/types';
-import { MEMBER_PREFIX, type Member, memberKey } from './member';
+import { decodeMember, MEMBER_PREFIX, type Member, memberKey } from './member';
 
 const RETRY_DELAY_MS = 200;
 
@@ -87,13 +87,13 @@
     const read = await this.store.get(key);
     if (read.err) return false;
     if (!read.val) return true;
-    if ((JSON.parse(read.val.value) as Member).incarnation !== incarnation) return false;
+    if (decodeMember(read.val)?.incarnation !== incarnation) return false;
     const removed = await this.store.remove(key, read.val.version);
     return removed.ok;
   }
 
   private refresh(): void {
-    const members = this.watched.all().map(({ value }) => JSON.parse(value) as Member);
+    const members = this.watched.all().flatMap((stored) => decodeMember(stored) ?? []);
     this.membersById = new Map(members.map((member) => [member.id, member]));
     this.memberList = members;
   }
--- a/packages/membership/src/partitionPage.ts
+++ b/packages/membership/src/partitionPage.ts
@@ -1,5 +1,6 @@
-import type { TokenedValue } from '@marjorampin/store';
+import { decodeValue, type StoredValue, type TokenedValue } from '@marjorampin/store';
 import { PARTITION_COUNT } from '@marjorampin/types';
+import * as z from 'zod';
 
 /** Prefix of the partition table's pages in the platform's key-value store. */
 export const PARTITION_PREFIX = 'partitions/';
@@ -34,7 +35,16 @@
   return `${PARTITION_PREFIX}${page}`;
 }
 
-/** Creates a page whose partitions are all unassigned. */
-export function createEmptyPage(): PartitionPage {
-  return { token: '', assignments: Array.from({ length: PARTITIONS_PER_PAGE }, () => UNASSIGNED) };
+const pageSchema = z.object({
+  assignments: z
+    .array(z.object({ owner: z.string(), epoch: z.number().int().min(0) }))
+    .length(PARTITIONS_PER_PAGE),
+  token: z.string().default(''),
+});
+
+/** Decodes a page; returns undefined if the value is none. */
+export function decodePage(stored: StoredValue): PartitionPage | undefined {
+  const page = Number(stored.key.slice(PARTITION_PREFIX.length));
+  const isKey = stored.key === pageKey(page) && Number.isInteger(page) && page < PAGE_COUNT;
+  return isKey ? decodeValue(stored, pageSchema) : undefined;
 }
--- a/packages/membership/src/partitionTable.ts
+++ b/packages/membership/src/partitionTable.ts
@@ -7,7 +7,7 @@
 import { type Clock, Ok, PARTITION_COUNT, type Result } from '@marjorampin/types';
 import {
   type Assignment,
-  createEmptyPage,
+  decodePage,
   PAGE_COUNT,
   pageKey,
   pageOf,
@@ -109,8 +109,9 @@
     for (let attempt = 0; ; attempt += 1) {
       const read = await this.store.get(pageKey(page));
       if (read.err) return read;
-      const current = read.val ? (JSON.parse(read.val.value) as PartitionPage) : createEmptyPage();
-      const assignments = [...current.assignments];
+      const current = read.val && decodePage(read.val);
+      // Without a page that can be read, the last known one is written again.
+      const assignments = [...(current?.assignments ?? this.knownPage(page))];
       const applicable = changes.filter(
         ({ partition, expectedEpoch }) =>
           assignments[partition % PARTITIONS_PER_PAGE]?.epoch === expectedEpoch,
@@ -139,11 +140,17 @@
     }
   }
 
+  private knownPage(page: number): Assignment[] {
+    const first = page * PARTITIONS_PER_PAGE;
+    return this.assignments.slice(first, first + PARTITIONS_PER_PAGE);
+  }
+
   private refresh(): void {
     const updated = [...this.assignments];
-    this.pages.all().forEach(({ key, value }) => {
+    this.pages.all().forEach((stored) => {
+      const { key } = stored;
       const firstPartition = Number(key.slice(PARTITION_PREFIX.length)) * PARTITIONS_PER_PAGE;
-      (JSON.parse(value) as PartitionPage).assignments.forEach((assignment, index) => {
+      decodePage(stored)?.assignments.forEach((assignment, index) => {
         const previous = updated[firstPartition + index] ?? UNASSIGNED;
         if (assignment.epoch > previous.epoch) updated[firstPartition + index] = assignment;
       });
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,5 @@
 /** Interface and clients of the platform's key-value store. */
+export * from './decodeValue';
 export * from './endpointKeys';
 export * from './exchangeJson';
 export * from './httpKeyValueStore';
