--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -230,6 +230,12 @@
     message: 'a keeper did not reply to a request about the rate limit of an endpoint',
     remedy: 'Check the host of the keeper, and run the same version on all hosts.',
   },
+  rosterUnreadable: {
+    number: 715,
+    level: 'error',
+    message: 'the stored roster is invalid; it will be written again',
+    remedy: 'Find out who wrote it; the roster that was read before stays in effect.',
+  },
   configurationChanged: {
     number: 800,
     level: 'info',
--- a/packages/turns/src/__tests__/keepers.test.ts
+++ b/packages/turns/src/__tests__/keepers.test.ts
@@ -4,6 +4,7 @@
 import { type TurnRecord, TurnRecordSchema } from '@marjorampin/protocol';
 import { CallError } from '@marjorampin/types';
 import type { TurnReservation, TurnStore } from '../turnStore';
+import { ROSTER_KEY } from '../rosterRecord';
 import { KeeperCluster } from './keeperCluster';
 
 const IDS = ['a', 'b', 'c', 'd'];
@@ -289,6 +290,22 @@
       );
     },
   },
+  ...['', 'null', '{"keepers":[{}]}', '['.repeat(100_000)].map((text) => ({
+    name: `an unreadable roster (${text.slice(0, 20)}) is written again`,
+    async run(cluster: KeeperCluster, turns: TurnStore) {
+      assert.equal(await outcomeOf(turns.reserve(reservationOf('t1'))), 'ok');
+      const before = (await cluster.store.get(ROSTER_KEY)).unwrap();
+      const expectedVersion = before?.version ?? 0;
+      const odd = { key: ROSTER_KEY, value: text, expectedVersion };
+      (await cluster.store.compareAndSwap(odd)).unwrap();
+      assert.equal(await outcomeOf(turns.commit(recordOf('t1'))), 'ok');
+      await cluster.untilRestored(IDS);
+      const unreadable = cluster.log.events.filter(({ event }) => event === 'rosterUnreadable');
+      assert.ok(unreadable.length <= IDS.length);
+      await cluster.adoptStoredRoster(turns);
+      await eventually('ok', () => turns.reserve(reservationOf('t2', 't1')));
+    },
+  })),
   {
     name: 'the data of a retiring keeper is copied before it leaves',
     async run(cluster, turns) {
--- a/packages/turns/src/rosterMaintainer.ts
+++ b/packages/turns/src/rosterMaintainer.ts
@@ -54,6 +54,9 @@
 
   private parsed: { version: number; roster: Roster | undefined } | undefined;
 
+  /** The newest roster that could be read. */
+  private readable: Roster | undefined;
+
   private readonly stopped = new AbortController();
 
   private hasRetired = false;
@@ -86,7 +89,10 @@
     const stored = this.options.values.get(ROSTER_KEY);
     if (!stored) return undefined;
     if (this.parsed?.version !== stored.version) {
-      this.parsed = { version: stored.version, roster: parseRoster(stored.value, stored.version) };
+      const roster = parseRoster(stored.value, stored.version);
+      if (!roster) this.options.log.write('rosterUnreadable', { revision: stored.version });
+      this.parsed = { version: stored.version, roster };
+      this.readable = roster ?? this.readable;
     }
     return this.parsed.roster;
   }
@@ -99,19 +105,22 @@
   /** Runs one round; returns false if the roster has to be written again soon. */
   private async runRound(): Promise<boolean> {
     const roster = this.storedRoster();
-    if (this.hasRetired) return true;
+    const storedVersion = this.options.values.get(ROSTER_KEY)?.version ?? 0;
+    const isUnreadable = storedVersion > 0 && !roster;
+    // A keeper that has read no roster leaves it to the others to write it again.
+    if (this.hasRetired || (isUnreadable && !this.readable)) return true;
     await this.retireIfOrdered(roster);
     if (this.hasRetired) return true;
-    const keepers = roster?.keepers ?? [];
+    const keepers = (roster ?? this.readable)?.keepers ?? [];
     const unresponsive = await this.probeMonitored(keepers);
     const remaining = keepers.filter(({ id }) => !unresponsive.has(id));
     const changed = this.withSelf(remaining);
-    if (sameKeepers(changed, keepers)) return true;
+    if (!isUnreadable && sameKeepers(changed, keepers)) return true;
     // A keeper that reaches no majority neither joins the roster nor removes others from it.
     const others = keepers.filter(({ id }) => id !== this.options.self.id);
     const responding = await this.countResponding(others);
     if (others.length > 0 && (1 + responding) * 2 <= 1 + others.length) return true;
-    if (!(await this.write(changed, roster?.version ?? 0))) return false;
+    if (!(await this.write(changed, storedVersion))) return false;
     unresponsive.forEach((keeper) => {
       const answering = responding;
       this.options.log.write('keeperRemoved', { keeper, silentMs: REMOVAL_AFTER_MS, answering });
--- a/soak/src/storeStandin.ts
+++ b/soak/src/storeStandin.ts
@@ -27,8 +27,18 @@
 
   /** Writes a value as an operator or endpoint would. */
   async put(key: string, value: unknown): Promise<void> {
+    await this.putText(key, JSON.stringify(value));
+  }
+
+  /** Writes text, which need not be JSON. */
+  async putText(key: string, value: string): Promise<void> {
     const expectedVersion = await this.versionOf(key);
-    await this.store.compareAndSwap({ key, value: JSON.stringify(value), expectedVersion });
+    await this.store.compareAndSwap({ key, value, expectedVersion });
+  }
+
+  /** Returns the text of a key, empty if it is absent. */
+  async text(key: string): Promise<string> {
+    return (await this.store.get(key)).unwrap()?.value ?? '';
   }
 
   /** Removes a key. */
