--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -124,7 +124,8 @@
     this.load = new EventLoopLoad({ sample: () => options.loopTimes() });
     this.saturation = new Saturation({
       onStart: () => log.write('entrySaturated', { active: this.active }),
-      onEnd: (period) => log.write('saturationEnded', { ...period }),
+      onEnd: ({ durationMs, calls, abandoned }) =>
+        log.write('saturationEnded', { durationMs: Math.round(durationMs), calls, abandoned }),
     });
     this.lag = new LoopLag({ clock, onSample: () => this.measureLoad() });
     const rateLimits = new RateLimits({ permits, clock, log, metrics });
