--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -237,7 +237,7 @@
     remedy: 'Check the host of the keeper, and run the same version on all hosts.',
   },
   rosterUnreadable: {
-    number: 715,
+    number: 716,
     level: 'error',
     message: 'the stored roster is invalid; it will be written again',
     remedy: 'Find out who wrote it; the roster that was read before stays in effect.',
