Peer streams: bytes are read and written without the Node.js adapters

Cause: in connect-node, the bytes of a stream pass the request and response objects of Node's HTTP/1 compatibility, the iterator of a Readable, a lowered async generator, a Promise.race for each chunk (client) and two listeners for each write, in addition to connect's own chain.

Change: connect's gRPC transport and router stay, but get an HTTP client and a stream listener of our own (`peerTransport`, `peerListener`) that read and write the HTTP/2 stream directly (`streamBytes`). `FrameQueue` is an iterator itself and no generator, on the server also without the generator around it. Bytes on the wire are unchanged.

ESLint accepts `Headers`, which connect's interfaces require and Node.js 20 provides.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,7 @@
     // Stable in Node 20 as used here: HTTP bodies, checksums and test suites.
     {
       version: '>=20.15',
-      ignores: ['Request', 'Response', 'ReadableStream', 'zlib.crc32', 'test.describe'],
+      ignores: ['Headers', 'Request', 'Response', 'ReadableStream', 'zlib.crc32', 'test.describe'],
     },
   ],
   'n/no-unsupported-features/es-syntax': ['error', { version: '>=20.15', ignores: ['modules'] }],
--- a/packages/protocol/src/frameQueue.ts
+++ b/packages/protocol/src/frameQueue.ts
@@ -4,7 +4,7 @@
 const MAXIMUM_FRAMES_PER_BATCH = 256;
 
 /** Queue of the outgoing frames of one stream; iterating it yields the queued frames in batches. */
-export class FrameQueue implements AsyncIterable<Batch> {
+export class FrameQueue implements AsyncIterableIterator<Batch, undefined> {
   private frames: Frame[] = [];
 
   private wake: (() => void) | undefined;
@@ -29,23 +29,34 @@
     return this.frames.length;
   }
 
-  async *[Symbol.asyncIterator](): AsyncIterator<Batch> {
-    while (!this.closed || this.frames.length > 0) {
-      if (this.frames.length === 0) await this.nextSignal();
-      const frames = this.frames.splice(0, MAXIMUM_FRAMES_PER_BATCH);
-      if (frames.length > 0) yield create(BatchSchema, { frames });
-    }
+  /** Resolves with the queued frames, as soon as there are some; they are sent in one write. */
+  next(): Promise<IteratorResult<Batch, undefined>> {
+    if (this.closed || this.frames.length > 0) return Promise.resolve(this.take());
+    return new Promise((resolve) => {
+      // Waiting for a macrotask collects the frames of the current event loop turn in one batch.
+      this.wake = () => setImmediate(() => resolve(this.take()));
+    });
+  }
+
+  /** Closes the queue; connect-es calls this when the stream fails. */
+  throw(error: unknown): Promise<IteratorResult<Batch, undefined>> {
+    this.close();
+    return Promise.reject(error);
+  }
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  /** Takes the next batch; none is left once the queue is closed and empty. */
+  private take(): IteratorResult<Batch, undefined> {
+    const frames = this.frames.splice(0, MAXIMUM_FRAMES_PER_BATCH);
+    if (frames.length === 0) return { done: true, value: undefined };
+    return { done: false, value: create(BatchSchema, { frames }) };
   }
 
   private signal(): void {
     this.wake?.();
     this.wake = undefined;
   }
-
-  private nextSignal(): Promise<void> {
-    return new Promise((resolve) => {
-      // Waiting for a macrotask collects the frames of the current event loop turn in one batch.
-      this.wake = () => setImmediate(resolve);
-    });
-  }
 }
--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -1,16 +1,10 @@
 import { createClient } from '@connectrpc/connect';
-import { createGrpcTransport } from '@connectrpc/connect-node';
 import { CallError, type Clock } from '@marjorampin/types';
 import { Peer, type Reply } from './gen/peer_pb';
 import { HeartbeatTimer } from './heartbeatTimer';
-import {
-  type CallOptions,
-  PeerChannel,
-  type PeerHandler,
-  type Supervision,
-  WITHOUT_COMPRESSION,
-} from './peerChannel';
+import { type CallOptions, PeerChannel, type PeerHandler, type Supervision } from './peerChannel';
 import { PeerSession } from './peerSession';
+import { createPeerTransport } from './peerTransport';
 import { readTlsFiles, type TlsFiles } from './tlsFiles';
 
 const INITIAL_BACKOFF_MS = 50;
@@ -128,11 +122,7 @@
     try {
       const openSession = new PeerSession({ authority: baseUrl, tls: tls && readTlsFiles(tls) });
       session = openSession;
-      const transport = createGrpcTransport({
-        baseUrl,
-        sessionManager: openSession,
-        ...WITHOUT_COMPRESSION,
-      });
+      const transport = createPeerTransport({ baseUrl, session: openSession });
       const batches = createClient(Peer, transport).exchange(channel.outgoing, {
         signal: controller.signal,
       });
--- /dev/null
+++ b/packages/protocol/src/peerListener.ts
@@ -0,0 +1,74 @@
+import http2 from 'node:http2';
+import { createConnectRouter } from '@connectrpc/connect';
+import type { UniversalHandlerFn, UniversalServerResponse } from '@connectrpc/connect/protocol';
+import { type Batch, Peer } from './gen/peer_pb';
+import { WITHOUT_COMPRESSION } from './peerChannel';
+import { ReceivedBytes, sendBytes } from './streamBytes';
+import { toHeaders } from './streamHeaders';
+
+/** Maximum size of a batch, checked before it is parsed. */
+const MAXIMUM_BATCH_BYTES = 16 * 1024 * 1024;
+
+/** Listener for the event `stream` of an HTTP/2 server. */
+export type StreamListener = (
+  stream: http2.ServerHttp2Stream,
+  headers: http2.IncomingHttpHeaders,
+) => void;
+
+/** Returns a listener that serves the streams of peers with `exchange`. */
+export function createPeerListener(
+  exchange: (batches: AsyncIterable<Batch>) => AsyncIterable<Batch>,
+): StreamListener {
+  const { handlers } = createConnectRouter({
+    readMaxBytes: MAXIMUM_BATCH_BYTES,
+    ...WITHOUT_COMPRESSION,
+  }).service(Peer, { exchange });
+  const handlerByPath = new Map(handlers.map((handler) => [handler.requestPath, handler]));
+  return (stream, headers) => {
+    const body = new ReceivedBytes(stream);
+    const handler = handlerByPath.get(headers[':path'] ?? '');
+    if (!handler) {
+      stream.respond({ ':status': 404 }, { endStream: true });
+      return;
+    }
+    serve(stream, { headers, body, handle: handler }).catch(() => {
+      stream.close(http2.constants.NGHTTP2_INTERNAL_ERROR);
+    });
+  };
+}
+
+async function serve(
+  stream: http2.ServerHttp2Stream,
+  {
+    headers,
+    body,
+    handle,
+  }: { headers: http2.IncomingHttpHeaders; body: ReceivedBytes; handle: UniversalHandlerFn },
+): Promise<void> {
+  const controller = new AbortController();
+  stream.once('close', () => controller.abort());
+  const response = await handle({
+    httpVersion: '2.0',
+    method: headers[':method'] ?? '',
+    url: `http://${headers[':authority']}${headers[':path']}`,
+    header: toHeaders(headers),
+    body,
+    signal: controller.signal,
+  });
+  await respond(stream, response);
+}
+
+async function respond(
+  stream: http2.ServerHttp2Stream,
+  { status, header = new Headers(), body, trailer = new Headers() }: UniversalServerResponse,
+): Promise<void> {
+  const fields = { ':status': status, ...Object.fromEntries(header) };
+  if (!body) {
+    stream.respond(fields, { endStream: true });
+    return;
+  }
+  stream.once('wantTrailers', () => stream.sendTrailers(Object.fromEntries(trailer)));
+  stream.respond(fields, { waitForTrailers: true });
+  await sendBytes(stream, body);
+  stream.end();
+}
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -1,15 +1,12 @@
 import http2 from 'node:http2';
 import type { AddressInfo } from 'node:net';
-import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { Clock, PeerAddress } from '@marjorampin/types';
-import { type Batch, Peer } from './gen/peer_pb';
+import type { Batch } from './gen/peer_pb';
 import { HeartbeatTimer } from './heartbeatTimer';
-import { PeerChannel, type PeerHandler, WITHOUT_COMPRESSION } from './peerChannel';
+import { PeerChannel, type PeerHandler } from './peerChannel';
+import { createPeerListener } from './peerListener';
 import { readTlsFiles, type TlsFiles } from './tlsFiles';
 
-/** Maximum size of a batch, checked before it is parsed. */
-const MAXIMUM_BATCH_BYTES = 16 * 1024 * 1024;
-
 /** Options of `PeerServer`. */
 export interface PeerServerOptions {
   /** Address to listen on; port 0 selects a free port. */
@@ -37,14 +34,13 @@
 
   constructor(options: PeerServerOptions) {
     this.options = options;
-    const listener = connectNodeAdapter({
-      routes: (router) => router.service(Peer, { exchange: (batches) => this.exchange(batches) }),
-      readMaxBytes: MAXIMUM_BATCH_BYTES,
-      ...WITHOUT_COMPRESSION,
-    });
     this.server = options.tls
-      ? http2.createSecureServer({ ...readTlsFiles(options.tls), requestCert: true }, listener)
-      : http2.createServer(listener);
+      ? http2.createSecureServer({ ...readTlsFiles(options.tls), requestCert: true })
+      : http2.createServer();
+    this.server.on(
+      'stream',
+      createPeerListener((batches) => this.exchange(batches)),
+    );
     this.server.on('session', (session) => {
       // A connection accepted while the server closes would keep it from closing.
       if (this.isClosed) session.destroy();
@@ -91,7 +87,7 @@
     return [...this.openChannels].some((channel) => channel.isSupervised);
   }
 
-  private async *exchange(batches: AsyncIterable<Batch>): AsyncIterable<Batch> {
+  private exchange(batches: AsyncIterable<Batch>): AsyncIterable<Batch> {
     const { handler, clock } = this.options;
     const channel = new PeerChannel({
       handler,
@@ -101,13 +97,9 @@
       onSupervised: () => this.heartbeat.start(),
     });
     this.openChannels.add(channel);
+    channel.onClose(() => this.openChannels.delete(channel));
     receiveAll(channel, batches);
-    try {
-      yield* channel.outgoing;
-    } finally {
-      channel.close('the peer closed the stream');
-      this.openChannels.delete(channel);
-    }
+    return channel.outgoing;
   }
 }
 
--- a/packages/protocol/src/peerSession.ts
+++ b/packages/protocol/src/peerSession.ts
@@ -1,14 +1,9 @@
 import http2 from 'node:http2';
-import type { GrpcTransportOptions } from '@connectrpc/connect-node';
 import { CallError } from '@marjorampin/types';
 
-type SessionManager = NonNullable<GrpcTransportOptions['sessionManager']>;
-
 /** Time to connect; later attempts of the system to connect would be too far apart. */
 const CONNECT_TIMEOUT_MS = 600;
 
-const ignoreProgress = () => undefined;
-
 /** Options of `PeerSession`. */
 export interface PeerSessionOptions {
   /** URL of the peer without a path. */
@@ -18,11 +13,8 @@
 
 /** One HTTP/2 session for one stream. A session error fails the stream and is never uncaught, even
  * when it is emitted more than once. */
-export class PeerSession implements SessionManager {
-  readonly authority: string;
-
-  /** Progress of responses is supervised by `PeerChannel`. */
-  readonly notifyResponseByteRead = ignoreProgress;
+export class PeerSession {
+  private readonly authority: string;
 
   private readonly tls: http2.SecureClientSessionOptions | undefined;
 
@@ -40,11 +32,10 @@
     method: string,
     path: string,
     headers: http2.OutgoingHttpHeaders,
-    options: http2.ClientSessionRequestOptions,
   ): Promise<http2.ClientHttp2Stream> {
     if (this.isAborted) throw this.connectionError('the stream was closed');
     const session = await this.connect();
-    return session.request({ ...headers, ':method': method, ':path': path }, options);
+    return session.request({ ...headers, ':method': method, ':path': path });
   }
 
   /** Closes the connection immediately. */
