Relayed connections: accepted by the process, one request each, bounded in time

Change: an entry greets a relayed connection with the version of its configuration, and nothing is read from the caller before; a relayed connection serves one request; an unanswered one ends at the longest timeout of a route; 502 only if nothing was answered; loads are kept by entry, and keepers are excluded after two misses.

--- a/packages/gateway/src/connectionRelay.ts
+++ b/packages/gateway/src/connectionRelay.ts
@@ -2,9 +2,13 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import type { PeerAddress } from '@marjorampin/types';
+import { afterPoll } from './afterPoll';
 
 /** Time within which the other entry must accept a connection; it is in the same failure domain. */
-const CONNECT_TIMEOUT_MS = 250;
+const ACCEPT_TIMEOUT_MS = 250;
+/** Time that an answer may take beyond the longest timeout of a route, after which the entry that serves
+ * the call has answered it itself if it still runs. */
+const ANSWER_MARGIN_MS = 250;
 
 /** Sent if the other entry fails before it has answered. */
 const FAILED_ANSWER = 'HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
@@ -15,10 +19,23 @@
   address: PeerAddress;
 }
 
+/** What became of a connection: an entry that is unreachable or has another configuration than this one
+ * leaves it unread. */
+export type RelayOutcome = 'relayed' | 'unreachable' | 'other configuration';
+
 /** Options of `ConnectionRelay`. */
 export interface ConnectionRelayOptions {
   log: EventLog;
   metrics: Metrics;
+  /** Returns the version of the configuration in effect. */
+  version(): number;
+  /** Returns the longest timeout of a route in milliseconds. */
+  longestTimeoutMs(): number;
+}
+
+/** Returns what an entry sends first on a relayed connection once it has accepted it. */
+export function relayGreeting(version: number): string {
+  return `${version}\n`;
 }
 
 /**
@@ -40,33 +57,25 @@
     return [...this.callers].filter(({ bytesRead }) => bytesRead > 0).length;
   }
 
-  /**
-   * Relays a paused connection. Resolves with false if the other entry can't be reached; nothing was
-   * read from the connection then.
-   */
-  async relay(caller: net.Socket, target: RelayTarget): Promise<boolean> {
-    const { log, metrics } = this.options;
+  /** Relays a paused connection. If that is not possible, nothing is read from the connection. */
+  async relay(caller: net.Socket, target: RelayTarget): Promise<RelayOutcome> {
+    const { log, metrics, version, longestTimeoutMs } = this.options;
     const ignoreError = () => undefined;
     // A caller that leaves meanwhile is noticed once the connection is read.
     caller.on('error', ignoreError);
     this.callers.add(caller);
-    const entry = await connect(target.address);
+    const { entry, outcome } = await connect(target.address, version());
     caller.off('error', ignoreError);
-    if (!entry) {
+    metrics.count('gateway_relays_total', { outcome });
+    if (outcome === 'unreachable') log.write('relayTargetUnreachable', { entry: target.id });
+    if (!entry || caller.destroyed) {
       this.callers.delete(caller);
-      metrics.count('gateway_relays_total', { outcome: 'failed' });
-      log.write('relayTargetUnreachable', { entry: target.id });
-      return false;
+      entry?.destroy();
+      return outcome;
     }
-    metrics.count('gateway_relays_total', { outcome: 'relayed' });
     caller.on('close', () => this.callers.delete(caller));
-    if (caller.destroyed) {
-      this.callers.delete(caller);
-      entry.destroy();
-    } else {
-      joinSockets(caller, entry);
-    }
-    return true;
+    joinSockets(caller, entry, longestTimeoutMs() + ANSWER_MARGIN_MS);
+    return outcome;
   }
 
   /** Closes all relayed connections. */
@@ -75,52 +84,76 @@
   }
 }
 
-/** Returns a connection to an address; undefined if it can't be opened in time. */
-function connect(address: PeerAddress): Promise<net.Socket | undefined> {
+/** Connects to an entry and waits until it has accepted the connection. */
+function connect(
+  address: PeerAddress,
+  version: number,
+): Promise<{ entry?: net.Socket; outcome: RelayOutcome }> {
   return new Promise((resolve) => {
-    const socket = net.connect({ ...address, noDelay: true });
-    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
-    const finish = (result: net.Socket | undefined) => {
+    const entry = net.connect({ ...address, noDelay: true });
+    const timer = setTimeout(async () => {
+      // If this process was busy, a greeting that has arrived is read first.
+      await afterPoll();
+      resolve({ outcome: 'unreachable' });
+      if (entry.listenerCount('data') > 0 && entry.bytesRead === 0) entry.destroy();
+    }, ACCEPT_TIMEOUT_MS);
+    entry.on('error', () => undefined);
+    entry.once('close', () => {
+      clearTimeout(timer);
+      resolve({ outcome: 'unreachable' });
+    });
+    entry.once('data', (greeting) => {
       clearTimeout(timer);
-      resolve(result);
-    };
-    socket.on('error', () => undefined);
-    socket.once('close', () => finish(undefined));
-    socket.once('connect', () => finish(socket));
+      if (greeting.toString() === relayGreeting(version)) {
+        resolve({ entry, outcome: 'relayed' });
+        return;
+      }
+      entry.destroy();
+      resolve({ outcome: 'other configuration' });
+    });
   });
 }
 
 /** Passes on everything between a caller and the entry that serves it. */
-function joinSockets(caller: net.Socket, entry: net.Socket): void {
-  /** Whether nothing of the answer to the latest request has arrived. */
-  let isUnanswered = false;
-  forwardData(caller, entry, () => {
-    isUnanswered = true;
+function joinSockets(caller: net.Socket, entry: net.Socket, answerTimeoutMs: number): void {
+  let answerTimer: NodeJS.Timeout | undefined;
+  let isAnswered = false;
+  caller.once('data', async () => {
+    answerTimer = setTimeout(() => entry.destroy(), answerTimeoutMs);
+    // The request waits in the socket's buffer until a poll has shown whether the caller has left.
+    entry.cork();
+    await afterPoll();
+    entry.uncork();
   });
-  forwardData(entry, caller, () => {
-    isUnanswered = false;
-  });
-  caller.on('end', () => entry.end());
-  caller.on('close', (hadError) => {
-    if (hadError) entry.resetAndDestroy();
-    else entry.end();
+  entry.once('data', () => {
+    isAnswered = true;
+    clearTimeout(answerTimer);
   });
+  forwardData(caller, entry);
+  forwardData(entry, caller);
+  const cancel = () => {
+    clearTimeout(answerTimer);
+    entry.resetAndDestroy();
+  };
+  caller.on('end', cancel);
+  caller.on('close', cancel);
   const closeCaller = (hadError: boolean) => {
-    if (isUnanswered) caller.write(FAILED_ANSWER);
+    clearTimeout(answerTimer);
+    if (!isAnswered && caller.bytesRead > 0) caller.write(FAILED_ANSWER);
     // Without a length or chunks, an orderly end would make an interrupted answer look complete.
-    if (!isUnanswered && hadError) caller.resetAndDestroy();
+    if (isAnswered && hadError) caller.resetAndDestroy();
     else caller.destroySoon();
   };
-  entry.on('end', () => closeCaller(false));
+  // A reset that arrives with data is reported as an end; the connection has no peer any more then.
+  entry.on('end', () => closeCaller(entry.remoteAddress === undefined));
   entry.on('close', closeCaller);
   caller.resume();
 }
 
 /** Passes on the data of one connection to another, as fast as that accepts it. */
-function forwardData(source: net.Socket, sink: net.Socket, onData: () => void): void {
+function forwardData(source: net.Socket, sink: net.Socket): void {
   source.on('error', () => undefined);
   source.on('data', (bytes) => {
-    onData();
     if (!sink.write(bytes)) source.pause();
   });
   sink.on('drain', () => source.resume());
--- a/packages/placement/src/loadExchange.ts
+++ b/packages/placement/src/loadExchange.ts
@@ -11,6 +11,8 @@
 const REPLY_TIMEOUT_MS = 400;
 /** Time for which an entry that could not be reached gets no connections, and a keeper no reports. */
 const EXCLUSION_MS = 3_000;
+/** Failed exchanges after which a keeper is excluded. */
+const EXCLUDING_MISSES = 2;
 const MS_PER_SECOND = 1_000;
 
 /** Keepers as `LoadExchange` uses them. */
@@ -48,9 +50,9 @@
   random?: () => number;
 }
 
-/** A load with the time at which it was received. */
-interface ReceivedLoads {
-  loads: EntryLoad[];
+/** The load of another entry. */
+interface ReceivedLoad {
+  load: EntryLoad;
   receivedAtMs: number;
 }
 
@@ -74,7 +76,11 @@
 
   private readState: (() => OwnState) | undefined;
 
-  private received: ReceivedLoads = { loads: [], receivedAtMs: -Infinity };
+  /** Loads of the other entries by id. Another keeper may know only some of them. */
+  private readonly received = new Map<string, ReceivedLoad>();
+
+  /** Exchanges with the keeper that failed one after another, by its id. */
+  private readonly misses = new Map<string, number>();
 
   constructor({ random = Math.random, ...options }: LoadExchangeOptions) {
     this.options = { random, ...options };
@@ -131,10 +137,13 @@
   }
 
   private usableLoads(): EntryLoad[] {
-    const { loads, receivedAtMs } = this.received;
-    const now = this.options.clock.now();
-    if (now - receivedAtMs > REPORT_LIFETIME_MS) return [];
-    return loads.filter(({ id }) => !this.isExcluded(id));
+    const oldestMs = this.options.clock.now() - REPORT_LIFETIME_MS;
+    this.received.forEach(({ receivedAtMs }, id) => {
+      if (receivedAtMs < oldestMs) this.received.delete(id);
+    });
+    return [...this.received.values()]
+      .map(({ load }) => load)
+      .filter(({ id }) => !this.isExcluded(id));
   }
 
   private isExcluded(id: string): boolean {
@@ -156,6 +165,15 @@
     };
   }
 
+  /** One late reply may be due to this process, and another keeper knows other entries. */
+  private recordMiss(keeper: string): void {
+    const misses = (this.misses.get(keeper) ?? 0) + 1;
+    this.misses.set(keeper, misses);
+    if (misses < EXCLUDING_MISSES) return;
+    this.misses.delete(keeper);
+    this.exclude(keeper);
+  }
+
   /** Reports to the first usable keeper of the domain; all entries of the domain use the same one. */
   private async exchange(load: PlacementLoad): Promise<void> {
     const { domain, keepers, clock, log } = this.options;
@@ -171,9 +189,13 @@
       ]);
       if (!reply) throw new Error(`no reply within ${REPLY_TIMEOUT_MS} ms`);
       if (reply.body.case !== 'entryLoads') throw new Error(`reply ${reply.body.case ?? 'empty'}`);
-      this.received = { loads: reply.body.value.loads, receivedAtMs: clock.now() };
+      const receivedAtMs = clock.now();
+      reply.body.value.loads.forEach((each) => {
+        this.received.set(each.id, { load: each, receivedAtMs });
+      });
+      this.misses.delete(keeper.id);
     } catch (error) {
-      this.exclude(keeper.id);
+      this.recordMiss(keeper.id);
       log.write('loadNotShared', { keeper: keeper.id, error: String(error) });
     } finally {
       isReplied.abort();
--- a/packages/routing/src/routeTable.ts
+++ b/packages/routing/src/routeTable.ts
@@ -20,6 +20,11 @@
     });
   }
 
+  /** Longest timeout of a route in milliseconds; 0 without routes. */
+  get longestTimeoutMs(): number {
+    return Math.max(0, ...this.configuration.routes.map(({ timeoutMs }) => timeoutMs));
+  }
+
   /** Returns the route of a request; `host` may include a port, `target` a query. */
   match(host: string, target: string): Route | undefined {
     const name = host.replace(/:\d+$/, '').toLowerCase();
