Bodies: one whose rest Node.js dropped is not whole

Cause (fault of, found by reading): when a request is aborted, Node.js removes the listeners for data of its answer and drops the buffered rest. If the answer had arrived completely but waited for a slow caller when the deadline passed, its end was then taken as the end of the whole answer. Change: an end without a listener for data is an interruption, so the connection to the caller is cut. A test shows the fault with a message whose listeners are removed; it was not reproduced over HTTP.

--- a/packages/gateway/src/__tests__/messageChunks.test.ts
+++ b/packages/gateway/src/__tests__/messageChunks.test.ts
@@ -97,3 +97,17 @@
   const reading = readChunks(message, () => assert.fail('a chunk was passed on'));
   await assert.rejects(reading, /reset/);
 });
+
+test('a body whose rest is dropped while its reader is slow is rejected', async () => {
+  const message = createMessage();
+  let received = '';
+  const reading = readChunks(message, (chunk) => {
+    received += chunk.toString();
+    // As Node.js does when the request of an answer is aborted.
+    message.removeAllListeners('data');
+    message.resume();
+    return later();
+  });
+  await assert.rejects(reading, /closed prematurely/);
+  assert.equal(received, 'a');
+});
--- a/packages/gateway/src/messageChunks.ts
+++ b/packages/gateway/src/messageChunks.ts
@@ -29,7 +29,11 @@
       fail(message.errored ?? closedEarly());
       return;
     }
-    message.once('end', resolve);
+    message.once('end', () => {
+      // Node.js removes the listener and drops the rest of the body when the request is aborted.
+      if (message.listenerCount('data') > 0) resolve();
+      else fail(closedEarly());
+    });
     // Stays: an error that is emitted after a failure would end the process.
     message.on('error', fail);
     message.once('close', () => {
