Calls on new connections: one agent for all of them

Cause: with the option `agent: false`, Node.js creates an agent for each call. Change: one agent that keeps no connections open; it sends the same `Connection: close` and opens a connection for each call.

--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -37,6 +37,9 @@
   scheduling: 'lifo',
 });
 
+/** Opens a connection for each call; creating an agent for each one would cost more. */
+const closingAgent = new http.Agent({ keepAlive: false });
+
 /** Returns whether an idle connection to an endpoint is open. */
 export function hasIdleConnection({ address }: Endpoint): boolean {
   // The key under which `http.Agent` stores the connections to an address without TLS.
@@ -62,7 +65,7 @@
   headerCodec: HeaderCodec,
 ): Promise<EndpointAnswer> {
   const { endpoint, method, target, headers, body, requestId, signal } = call;
-  const agent = call.mayReuseConnection ? keepAliveAgent : false;
+  const agent = call.mayReuseConnection ? keepAliveAgent : closingAgent;
   return new Promise((resolve, reject) => {
     let isConnected = false;
     let answerMessage: http.IncomingMessage | undefined;
