Engines: load, results and events are checked before they are passed on

Cause: the agent parsed what its engine sends without a check.

Change: zod schemas; the errors name the engine, with an unknown outcome.

Evidence: without the change, the 13 new cases of brokenAnswers.test.ts failed.

--- a/packages/agent/src/__tests__/brokenAnswers.test.ts
+++ b/packages/agent/src/__tests__/brokenAnswers.test.ts
@@ -231,3 +231,59 @@
     assert.deepEqual(await endpoint.generate(MODEL_CALL, () => undefined, signal), RESULT);
   }),
 );
+
+const ODD_NUMBERS = [
+  '1e999',
+  '1e308',
+  '9007199254740993',
+  '4294967296',
+  '1.5',
+  '-1',
+  '"1"',
+  'null',
+];
+
+ODD_NUMBERS.forEach((number) => {
+  test(
+    `model engine: the count ${number} is neither part of a result nor of a load`,
+    TIMEOUT,
+    async () => {
+      const result = RESULT_EVENT.replace('"outputTokens":1', `"outputTokens":${number}`);
+      await withServer(closeAfter(UNFRAMED + result), async (url) => {
+        const generated = new HttpModelEndpoint({ url }).generate(
+          MODEL_CALL,
+          () => undefined,
+          signal,
+        );
+        await assert.rejects(generated, isUnknownFailure);
+      });
+      const load = `{"running":${number},"queued":0,"cachedTokens":0}`;
+      await withServer(closeAfter(framed(load)), async (url) => {
+        await assert.rejects(new HttpModelEndpoint({ url }).load(), isUnknownFailure);
+      });
+    },
+  );
+});
+
+const NESTED = '['.repeat(400_000) + ']'.repeat(400_000);
+
+['', '{', 'null', '{"text":1}', NESTED].forEach((text) => {
+  test(
+    `model engine: ${text.slice(0, 20) || 'no text'} is no event, load or list`,
+    TIMEOUT,
+    async () => {
+      await withServer(closeAfter(`${UNFRAMED}data: ${text}\n\n`), async (url) => {
+        const generated = new HttpModelEndpoint({ url }).generate(
+          MODEL_CALL,
+          () => undefined,
+          signal,
+        );
+        await assert.rejects(generated, isUnknownFailure);
+      });
+      await withServer(closeAfter(framed(text)), async (url) => {
+        await assert.rejects(new HttpModelEndpoint({ url }).load(), isUnknownFailure);
+        await assert.rejects(new HttpModelEndpoint({ url }).cachedPrograms(), isUnknownFailure);
+      });
+    },
+  );
+});
--- a/packages/agent/src/httpModelEndpoint.ts
+++ b/packages/agent/src/httpModelEndpoint.ts
@@ -5,7 +5,8 @@
   MAXIMUM_ANSWER_BYTES,
   sendRequest,
 } from '@marjorampin/http';
-import { CallError } from '@marjorampin/types';
+import { CallError, parseJson } from '@marjorampin/types';
+import * as z from 'zod';
 import { createDispatcher } from './endpointConnections';
 import {
   type EndpointLoad,
@@ -17,8 +18,27 @@
 /** Timeout of all requests except `/generate`. */
 const CONTROL_TIMEOUT_MS = 2_000;
 
+/** Largest count that messages between processes can hold. */
+const MAXIMUM_COUNT = 2 ** 32 - 1;
+
+const count = z.number().int().min(0).max(MAXIMUM_COUNT);
+
+const outcome = z.object({
+  text: z.string(),
+  inputTokens: count,
+  cachedTokens: count,
+  rebuiltTokens: count,
+  outputTokens: count,
+});
+
 /** An event of a generation: a piece of text or the result, which is null after a cancellation. */
-type EngineEvent = { text: string } | { result: ModelOutcome | null };
+const engineEvent = z.union([
+  z.object({ text: z.string() }),
+  z.object({ result: outcome.nullable() }),
+]);
+
+const engineLoad = z.object({ running: count, queued: count, cachedTokens: count });
+const programIds = z.array(z.string());
 
 /** Calls a model engine over HTTP, which streams its text as server-sent events. */
 export class HttpModelEndpoint extends ModelEndpoint {
@@ -47,13 +67,14 @@
       await response.body.dump();
       throw this.failure(`status ${response.statusCode}`);
     }
-    let outcome: ModelOutcome | null | undefined;
-    for await (const event of parseEvents(answerChunks(response, MAXIMUM_ANSWER_BYTES))) {
-      if ('result' in event) outcome = event.result;
+    let result: ModelOutcome | null = null;
+    for await (const data of eventData(answerChunks(response, MAXIMUM_ANSWER_BYTES))) {
+      const event = this.decode(engineEvent, data, 'an event');
+      if ('result' in event) result = event.result;
       else onText(event.text);
     }
-    if (!outcome) throw this.failure('the stream ended without a result');
-    return outcome;
+    if (!result) throw this.failure('the stream ended without a result');
+    return result;
   }
 
   override async release(program: string): Promise<void> {
@@ -61,7 +82,7 @@
   }
 
   override async load(): Promise<EndpointLoad> {
-    return JSON.parse(await this.fetchText('GET', '/load')) as EndpointLoad;
+    return this.decode(engineLoad, await this.fetchText('GET', '/load'), 'its load');
   }
 
   override async exportContext(program: string): Promise<string> {
@@ -73,7 +94,17 @@
   }
 
   override async cachedPrograms(): Promise<string[]> {
-    return JSON.parse(await this.fetchText('GET', '/held')) as string[];
+    return this.decode(programIds, await this.fetchText('GET', '/held'), 'its programs');
+  }
+
+  private decode<Schema extends z.ZodType>(
+    schema: Schema,
+    text: string,
+    what: string,
+  ): z.infer<Schema> {
+    const parsed = schema.safeParse(parseJson(text));
+    if (parsed.success) return parsed.data;
+    throw this.failure(`${what} has an unexpected form`);
   }
 
   private post(path: string, body: string): Promise<string> {
@@ -101,7 +132,8 @@
   }
 }
 
-async function* parseEvents(chunks: AsyncIterable<Buffer>): AsyncIterable<EngineEvent> {
+/** Yields the data of each event. */
+async function* eventData(chunks: AsyncIterable<Buffer>): AsyncIterable<string> {
   const decoder = new TextDecoder();
   let buffered = '';
   for await (const chunk of chunks) {
@@ -109,7 +141,7 @@
     const events = buffered.split('\n\n');
     buffered = events.pop() ?? '';
     for (const event of events) {
-      yield JSON.parse(event.slice('data: '.length)) as EngineEvent;
+      yield event.slice('data: '.length);
     }
   }
 }
