--- a/packages/gateway/src/connectionRelay.ts
+++ b/packages/gateway/src/connectionRelay.ts
@@ -95,7 +95,7 @@
       // If this process was busy, a greeting that has arrived is read first.
       await afterPoll();
       resolve({ outcome: 'unreachable' });
-      if (entry.listenerCount('data') > 0 && entry.bytesRead === 0) entry.destroy();
+      if (entry.bytesRead === 0) entry.destroy();
     }, ACCEPT_TIMEOUT_MS);
     entry.on('error', () => undefined);
     entry.once('close', () => {
--- a/packages/gateway/src/eventLoopLoad.ts
+++ b/packages/gateway/src/eventLoopLoad.ts
@@ -7,8 +7,8 @@
   idle: number;
 }
 
-/** Measures the share of time during which the event loop is busy. Unlike the lag of timers, it shows
- * a host at which connections wait to be accepted: few are accepted in each iteration of the loop. */
+/** Measures the share of time during which the event loop is busy. Answers a saturated host: few
+ * connections are accepted in each iteration of the loop, so others wait while timers are punctual. */
 export class EventLoopLoad {
   private readonly sample: () => LoopTimes;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -166,26 +166,7 @@
       version: () => this.configurationVersion,
       longestTimeoutMs: () => this.table?.longestTimeoutMs ?? 0,
     });
-    metrics.gauge('gateway_active_requests', 'requests under way', () => this.active);
-    metrics.gauge('gateway_loop_lag_ms', 'smoothed lag of the event loop', () => this.lag.ms);
-    metrics.gauge(
-      'gateway_loop_utilization',
-      'share of time in which the event loop is busy',
-      () => this.load.utilization,
-    );
-    metrics.gauge('gateway_saturated', '1 while the event loop is saturated', () =>
-      this.saturation.isSaturated ? 1 : 0,
-    );
-    metrics.gauge(
-      'gateway_configuration_version',
-      'version in force',
-      () => this.configurationVersion,
-    );
-    metrics.gauge(
-      'gateway_relayed_connections',
-      'connections relayed to other entries',
-      () => this.server.relayedConnections,
-    );
+    this.registerGauges();
   }
 
   /** Starts listening and measuring the lag of the event loop. */
@@ -268,6 +249,30 @@
     return this.server.relayAddress;
   }
 
+  private registerGauges(): void {
+    const { metrics } = this.options;
+    metrics.gauge('gateway_active_requests', 'requests under way', () => this.active);
+    metrics.gauge('gateway_loop_lag_ms', 'smoothed lag of the event loop', () => this.lag.ms);
+    metrics.gauge(
+      'gateway_loop_utilization',
+      'share of time in which the event loop is busy',
+      () => this.load.utilization,
+    );
+    metrics.gauge('gateway_saturated', '1 while the event loop is saturated', () =>
+      this.saturation.isSaturated ? 1 : 0,
+    );
+    metrics.gauge(
+      'gateway_configuration_version',
+      'version in force',
+      () => this.configurationVersion,
+    );
+    metrics.gauge(
+      'gateway_relayed_connections',
+      'connections relayed to other entries',
+      () => this.server.relayedConnections,
+    );
+  }
+
   private async serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { clock, metrics, headerCodec } = this.options;
     const requestId = headerCodec.requestIdOf(message.rawHeaders);
--- a/packages/placement/src/__tests__/simulatedDomain.ts
+++ b/packages/placement/src/__tests__/simulatedDomain.ts
@@ -1,10 +1,7 @@
 import seedrandom from 'seedrandom';
-import { placeConnection, type PlacementLoad } from '../placeConnection';
+import { placeConnection, type PlacementLoad, RELAY_MS, SERVICE_MS } from '../placeConnection';
 import { SmoothedValue } from '../smoothedValue';
 
-/** Usual processor time of a call on a whole core, and of relaying one. */
-const SERVICE_MS = 4;
-const RELAY_MS = 2;
 const REPORT_INTERVAL_MS = 500;
 /** Time after which an answer is late. */
 const OBJECTIVE_MS = 250;
--- a/packages/placement/src/placeConnection.ts
+++ b/packages/placement/src/placeConnection.ts
@@ -3,9 +3,10 @@
 /** Load of an entry, as plain data. */
 export type PlacementLoad = Omit<EntryLoad, '$typeName' | '$unknown'>;
 
-/** Processor time, on a whole core, of serving the calls of one connection, and of relaying them. */
-const SERVICE_MS = 4;
-const RELAY_MS = 2;
+/** Processor time, on a whole core, of serving the calls of one connection. */
+export const SERVICE_MS = 4;
+/** Processor time, on a whole core, of relaying the calls of one connection. */
+export const RELAY_MS = 2;
 /** Smallest gain in expected time for which a connection is relayed. */
 const MINIMUM_GAIN_MS = 3;
 /** Share of its capacity that even a saturated entry is assumed to have left. */
@@ -27,11 +28,9 @@
 
 /**
  * Returns the entry that should serve a new connection, undefined for the entry itself. Answers a
- * balancer that gives hosts of different size equally many connections, and bursts at single hosts:
- * each entry serves its part of all connections of the failure domain, in proportion to its capacity,
- * and relays the rest if that is noticeably faster. Connections are counted where callers opened them,
- * so the decisions of one moment do not change the input of the next ones. `random` is a number from 0
- * to 1.
+ * balancer that gives hosts of different size equally many connections: each entry serves its part of
+ * the failure domain's connections, in proportion to its capacity, and relays the rest if that is
+ * noticeably faster. `random` is a number from 0 to 1.
  */
 export function placeConnection<T extends PlacementLoad>(
   self: PlacementLoad,
