--- /dev/null
+++ b/review/lib/deployment.ts
@@ -0,0 +1,336 @@
+/* eslint-disable @stylistic/implicit-arrow-linebreak, @stylistic/max-len, @stylistic/object-curly-newline, @typescript-eslint/no-use-before-define, n/no-sync, no-await-in-loop, no-restricted-syntax -- Relaxed for the sources of the repository as well, or left to prettier. */
+/** A small deployment: entries, keepers, runners and the platform's store on loopback addresses. */
+import http from 'node:http';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { type ClientAnswer, HOST, send } from './client';
+import { type Host, Hosts, type Ports } from './hosts';
+import type { Record } from './record';
+import { EVENT_TOKENS, type Run, RunnerStandin } from './runnerStandin';
+import { sleep } from './standin';
+import { StoreStandin } from './storeStandin';
+
+/** Services of the deployment. */
+export const MODEL_SERVICE = 'asistente-lm';
+export const PLAIN_SERVICE = 'registro-app';
+/** Interval at which a runner writes its entry. */
+const HEARTBEAT_MS = 1_200;
+/** Longest wait until the deployment serves. */
+const START_TIMEOUT_MS = 20_000;
+const RETAIN_S = 60;
+const RUNNER_PORT = 8_080;
+const STORE_PORT = 8_142;
+
+/** Options of `Deployment`. */
+export interface DeploymentOptions {
+  record: Record;
+  /** Model runners in each zone. */
+  modelRunnersPerZone?: number;
+  zones?: string[];
+}
+
+/** A turn of a program. */
+export interface Turn {
+  id: string;
+  program: string;
+  budget: number;
+  /** Largest number of tokens. */
+  tokens: number;
+  input: string;
+  previous?: string;
+  /** Time left until the program should be finished. */
+  finishMs?: number;
+  workMs?: number;
+  path?: string;
+}
+
+/** Starts and stops everything that a script needs. */
+export class Deployment {
+  readonly record: Record;
+
+  readonly store = new StoreStandin();
+
+  readonly runners: RunnerStandin[] = [];
+
+  readonly entries: Host[];
+
+  readonly keepers: Host[];
+
+  readonly hosts: Hosts;
+
+  private readonly folder = mkdtempSync(join(tmpdir(), 'review-'));
+
+  private readonly network: string;
+
+  private readonly ports: Ports;
+
+  private readonly zones: string[];
+
+  private readonly beats: NodeJS.Timeout[] = [];
+
+  private lastId = 0;
+
+  private constructor(options: DeploymentOptions, network: string, ports: Ports) {
+    const { record, zones = ['sur-a', 'sur-b', 'sur-c'], modelRunnersPerZone = 2 } = options;
+    this.record = record;
+    this.network = network;
+    this.ports = ports;
+    this.zones = zones;
+    this.hosts = new Hosts({
+      record,
+      folder: this.folder,
+      storeAddress: `${network}.3.1:${STORE_PORT}`,
+      ports,
+      zones,
+      catchUpS: 4.4,
+    });
+    const host = (role: Host['role'], zone: string, index: number): Host => ({
+      name: `${role === 'entry' ? 'front' : 'store'}-${zone}-1`,
+      role,
+      ip: `${network}.${role === 'entry' ? 1 : 2}.${index + 1}`,
+      zone,
+    });
+    this.entries = zones.map((zone, index) => host('entry', zone, index));
+    this.keepers = zones.map((zone, index) => host('keeper', zone, index));
+    const runner = (service: string, zone: string, index: number) =>
+      new RunnerStandin({
+        id: `i-${service.slice(0, 3)}${zone.slice(-1)}${index}`,
+        service,
+        zone,
+        slots: service === MODEL_SERVICE ? 16 : 6,
+        record,
+      });
+    zones.forEach((zone) => {
+      for (let index = 0; index < modelRunnersPerZone; index += 1) {
+        this.runners.push(runner(MODEL_SERVICE, zone, index));
+      }
+      for (let index = 0; index < 2; index += 1) {
+        this.runners.push(runner(PLAIN_SERVICE, zone, index));
+      }
+    });
+  }
+
+  /** Starts a deployment and waits until all entries serve. */
+  static async start(options: DeploymentOptions): Promise<Deployment> {
+    const network = await freeNetwork();
+    const deployment = new Deployment(options, network, {
+      front: 8_149,
+      ready: 8_141,
+      internal: 7_380,
+    });
+    try {
+      await deployment.startAll();
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
+    return deployment;
+  }
+
+  /** Address of an entry for clients. */
+  addressOf({ ip }: Host): string {
+    return `${ip}:${this.ports.front}`;
+  }
+
+  /** Whether an entry says that it is ready. */
+  isReady({ ip }: Host): Promise<boolean> {
+    return new Promise((resolve) => {
+      const request = http.get(
+        { host: ip, port: this.ports.ready, path: '/marjorampin/ready', agent: false },
+        (response) => {
+          response.resume();
+          resolve(response.statusCode === 200);
+        },
+      );
+      request.on('error', () => resolve(false));
+      request.setTimeout(1_000, () => request.destroy());
+    });
+  }
+
+  /** Returns an id that was not used before. */
+  nextId(kind: string): string {
+    this.lastId += 1;
+    return `${kind}-${String(this.lastId).padStart(4, '0')}`;
+  }
+
+  /** Sends a turn to an entry. */
+  sendTurn(entry: Host, turn: Turn, agent?: http.Agent): Promise<ClientAnswer> {
+    const { id, program, budget, tokens, input, previous, finishMs = 60_000, workMs } = turn;
+    return send(
+      {
+        id,
+        entry: this.addressOf(entry),
+        method: 'POST',
+        path: turn.path ?? '/walk/4b',
+        body: input,
+        deadlineMs: 4_000,
+        headers: {
+          'Marjorampin-Program-Id': program,
+          'Marjorampin-Session-Id': program,
+          'Marjorampin-Finish-Ms': String(finishMs),
+          'Marjorampin-Token-Budget': String(budget),
+          'Marjorampin-Token-Count': `100,${tokens}`,
+          'Marjorampin-Model': 'm',
+          ...(previous === undefined ? {} : { 'Marjorampin-Previous-Turn': previous }),
+          ...(workMs === undefined ? {} : { 'x-work-ms': String(workMs) }),
+        },
+        ...(agent && { agent }),
+      },
+      this.record,
+    );
+  }
+
+  /** Runs of all runners, by request. */
+  get runs(): Map<string, Run> {
+    return new Map(
+      this.runners.flatMap(({ runs }) => runs).map((run) => [run.request, run] as const),
+    );
+  }
+
+  /** Starts a runner that was closed again under its id. */
+  async restartRunner(runner: RunnerStandin): Promise<void> {
+    await this.startRunner(runner);
+  }
+
+  /** Ends a runner as a crash does: its connections are reset. */
+  async crashRunner(runner: RunnerStandin): Promise<void> {
+    this.record.write(`runner ${runner.options.id} crashes`);
+    await runner.close();
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    this.beats.forEach((beat) => clearInterval(beat));
+    await this.hosts.stop();
+    await Promise.all([this.store, ...this.runners].map((standin) => standin.close()));
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private async startAll(): Promise<void> {
+    await this.store.listen(`${this.network}.3.1`, STORE_PORT);
+    this.store.put('op/config', configuration());
+    for (const runner of this.runners) await this.startRunner(runner);
+    [...this.keepers, ...this.entries].forEach((host) => this.hosts.start(host));
+    const until = performance.now() + START_TIMEOUT_MS;
+    for (const entry of this.entries) {
+      while (!(await this.isReady(entry))) {
+        if (performance.now() > until) throw new Error(`${entry.name} does not become ready`);
+        await sleep(100);
+      }
+    }
+    // Until all keepers are in the roster.
+    while (this.rosterSize < this.keepers.length) {
+      if (performance.now() > until) throw new Error('the keepers do not form a group');
+      await sleep(100);
+    }
+    await sleep(1_500);
+    this.record.write('the deployment is ready');
+  }
+
+  /** Number of keepers that the system has written into the store. */
+  get rosterSize(): number {
+    const text = this.store.text('marjorampin/keepers');
+    return text === '' ? 0 : (JSON.parse(text) as { keepers: unknown[] }).keepers.length;
+  }
+
+  private async startRunner(runner: RunnerStandin): Promise<void> {
+    const index = this.runners.indexOf(runner);
+    const host = `${this.network}.4.${index + 1}`;
+    await runner.listen(host, RUNNER_PORT);
+    const { id, service, zone, slots } = runner.options;
+    const born = Date.now();
+    let sequence = 0;
+    const beat = () => {
+      sequence += 1;
+      this.store.put(`servers/${id}`, {
+        service,
+        address: `${host}:${RUNNER_PORT}`,
+        zone,
+        version: 'v1',
+        slots,
+        state: 'ready',
+        coldLeftMs: 0,
+        sequence,
+        born,
+      });
+    };
+    beat();
+    const timer = setInterval(() => {
+      if (runner.isListening) beat();
+    }, HEARTBEAT_MS);
+    this.beats.push(timer);
+  }
+}
+
+/** Configuration as the small deployments have it. */
+function configuration() {
+  const stream = (name: string, priority: number) => ({
+    name,
+    host: HOST,
+    prefix: `/${name}/`,
+    kind: 'stream',
+    timeoutMs: 4_000,
+    sloMs: 250,
+    priority,
+    service: MODEL_SERVICE,
+    maxAttempts: 2,
+    retainContext: true,
+    retainS: RETAIN_S,
+    sticky: true,
+    resumable: false,
+    gapSloMs: 200,
+  });
+  const plain = (name: string, kind: string, timeoutMs: number, maxAttempts: number) => ({
+    name,
+    host: HOST,
+    prefix: `/${name}/`,
+    kind,
+    timeoutMs,
+    sloMs: 600,
+    priority: 2,
+    service: PLAIN_SERVICE,
+    maxAttempts,
+  });
+  const limits = { healthPath: '/health', protocol: 'h1', tls: false };
+  return {
+    version: 7,
+    routes: [
+      stream('check', 1),
+      stream('walk', 0),
+      plain('lookup', 'idempotent', 1_500, 2),
+      plain('cert', 'non_idempotent', 5_000, 1),
+      plain('flag', 'non_idempotent', 2_500, 1),
+    ],
+    services: [
+      {
+        name: MODEL_SERVICE,
+        maxConns: 160,
+        ...limits,
+        engine: { slots: 16, kvCapacity: 176_996, eventTokens: EVENT_TOKENS },
+      },
+      { name: PLAIN_SERVICE, maxConns: 96, ...limits },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 4_194_304,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/** Returns the first two octets of loopback addresses that nothing listens on. */
+async function freeNetwork(): Promise<string> {
+  for (let attempt = 0; attempt < 50; attempt += 1) {
+    const network = `127.${60 + Math.floor(Math.random() * 180)}`;
+    const isFree = await new Promise<boolean>((resolve) => {
+      const probe = createServer();
+      probe.once('error', () => resolve(false));
+      probe.listen(STORE_PORT, `${network}.3.1`, () => probe.close(() => resolve(true)));
+    });
+    if (isFree) return network;
+  }
+  throw new Error('no free loopback addresses');
+}
