--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -15,10 +15,12 @@
   { atS: 90, turns: 6 },
 ];
 /** Time for which a killed keeper is down. */
-const DOWN_MS = 2_800;
+const DOWN_MS = 1_300;
 /** Time from the kill to the programs' turns, in which other programs run. */
-const OTHERS_MS = 600;
-const RETRY_MS = 100;
+const OTHERS_MS = 250;
+const RETRY_MS = 50;
+/** Length of a turn. */
+const WORK_MS = 40;
 
 interface Program {
   id: string;
@@ -40,6 +42,7 @@
         tokens: TOKENS,
         input: `reading ${id};`,
         finishMs: 120_000,
+        workMs: WORK_MS,
       });
       const events = [...answer.body.matchAll(/^data: (.*)$/gm)].filter(
         ([, data], index) => data === eventData(id, index),
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -20,8 +20,13 @@
 /** Longest wait until the deployment serves. */
 const START_TIMEOUT_MS = 20_000;
 const RETAIN_S = 60;
-const RUNNER_PORT = 8_080;
-const STORE_PORT = 8_142;
+/** Port at which the project's processes serve their metrics, each at its own address. */
+const METRICS_PORT = 9_464;
+/** Ports below those that the system gives to outgoing connections. */
+const LOWEST_PORT = 12_000;
+const PORT_STEP = 20;
+const PORT_STEPS = 900;
+const NETWORK_ATTEMPTS = 50;
 
 /** Options of `Deployment`. */
 export interface DeploymentOptions {
@@ -84,7 +89,7 @@
     this.hosts = new Hosts({
       record,
       folder: this.folder,
-      storeAddress: `${network}.3.1:${STORE_PORT}`,
+      storeAddress: `${network}.3.1:${ports.store}`,
       ports,
       zones,
       catchUpS: 4.4,
@@ -117,12 +122,8 @@
 
   /** Starts a deployment and waits until all entries serve. */
   static async start(options: DeploymentOptions): Promise<Deployment> {
-    const network = await freeNetwork();
-    const deployment = new Deployment(options, network, {
-      front: 8_149,
-      ready: 8_141,
-      internal: 7_380,
-    });
+    const { network, ports } = await findNetwork();
+    const deployment = new Deployment(options, network, ports);
     try {
       await deployment.startAll();
     } catch (error) {
@@ -239,7 +240,7 @@
   }
 
   private async startAll(): Promise<void> {
-    await this.store.listen(`${this.network}.3.1`, STORE_PORT);
+    await this.store.listen(`${this.network}.3.1`, this.ports.store);
     this.store.put('op/config', configuration());
     for (const runner of this.runners) await this.startRunner(runner);
     [...this.keepers, ...this.entries].forEach((host) => this.hosts.start(host));
@@ -268,7 +269,7 @@
   private async startRunner(runner: RunnerStandin): Promise<void> {
     const index = this.runners.indexOf(runner);
     const host = `${this.network}.4.${index + 1}`;
-    await runner.listen(host, RUNNER_PORT);
+    await runner.listen(host, this.ports.runner);
     const { id, service, zone, slots } = runner.options;
     const born = Date.now();
     let sequence = 0;
@@ -276,7 +277,7 @@
       sequence += 1;
       this.store.put(`servers/${id}`, {
         service,
-        address: `${host}:${RUNNER_PORT}`,
+        address: `${host}:${this.ports.runner}`,
         zone,
         version: 'v1',
         slots,
@@ -354,16 +355,37 @@
   };
 }
 
-/** Returns the first two octets of loopback addresses that nothing listens on. */
-async function freeNetwork(): Promise<string> {
-  for (let attempt = 0; attempt < 50; attempt += 1) {
+/** Returns the first two octets of loopback addresses, and ports that are free there. */
+async function findNetwork(): Promise<{ network: string; ports: Ports }> {
+  for (let attempt = 0; attempt < NETWORK_ATTEMPTS; attempt += 1) {
     const network = `127.${60 + Math.floor(Math.random() * 180)}`;
-    const isFree = await new Promise<boolean>((resolve) => {
-      const probe = createServer();
-      probe.once('error', () => resolve(false));
-      probe.listen(STORE_PORT, `${network}.3.1`, () => probe.close(() => resolve(true)));
-    });
-    if (isFree) return network;
+    const first = LOWEST_PORT + PORT_STEP * Math.floor(Math.random() * PORT_STEPS);
+    const ports = {
+      front: first,
+      ready: first + 1,
+      store: first + 2,
+      runner: first + 3,
+      internal: first + 4,
+    };
+    const wanted = [
+      [`${network}.1.1`, ports.front],
+      [`${network}.1.1`, ports.ready],
+      [`${network}.1.1`, METRICS_PORT],
+      [`${network}.2.1`, METRICS_PORT],
+      [`${network}.2.1`, ports.internal],
+      [`${network}.3.1`, ports.store],
+      [`${network}.4.1`, ports.runner],
+    ] as const;
+    const areFree = await Promise.all(wanted.map(([host, port]) => isFree(host, port)));
+    if (areFree.every(Boolean)) return { network, ports };
   }
   throw new Error('no free loopback addresses');
 }
+
+function isFree(host: string, port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const probe = createServer();
+    probe.once('error', () => resolve(false));
+    probe.listen(port, host, () => probe.close(() => resolve(true)));
+  });
+}
--- a/review/lib/hosts.ts
+++ b/review/lib/hosts.ts
@@ -21,7 +21,10 @@
 export interface Ports {
   front: number;
   ready: number;
+  /** First port for traffic between the processes. */
   internal: number;
+  store: number;
+  runner: number;
 }
 
 /** Options of `Hosts`. */
