--- a/review/lib/runCase.ts
+++ b/review/lib/runCase.ts
@@ -10,13 +10,13 @@
 /** Returns the broken promises, empty if the rule held. */
 export type Case = (deployment: Deployment, hasTrouble: boolean) => Promise<string[]>;
 
-/** Runs the case of the folder `review/<number>`; with `TROUBLE=0`, without the disruption. */
+/** Runs the case of the folder `review/<folder>`; with `TROUBLE=0`, without the disruption. */
 export async function runCase(
-  number: number,
+  folder: number | string,
   play: Case,
   options: Omit<DeploymentOptions, 'record'> = {},
 ): Promise<void> {
-  const record = new Record(join('review', String(number), 'record.txt'));
+  const record = new Record(join('review', String(folder), 'record.txt'));
   const hasTrouble = process.env.TROUBLE !== '0';
   // An exit ends all processes that were started.
   (['SIGINT', 'SIGTERM'] as const).forEach((signal) => process.once(signal, () => process.exit(2)));
