A stopping entry accepts only requests that end within its grace period

Cause: requests were accepted for half of the grace period and all connections closed after nine tenths of it, whatever the requests needed. Reading a body ends at the deadline. Answers to earlier requests close their connections too.

--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -25,11 +25,13 @@
 
 /**
  * Reads a request body. Throws `too-large` above the size limit, `cancelled` when the body ends
- * early, and an `Error` when no data arrives within the idle timeout, which destroys the request.
+ * early or `signal` aborts, and an `Error` when no data arrives within the idle timeout, which
+ * destroys the request.
  */
 export async function readCallerBody(
   message: http.IncomingMessage,
   { bodyBytes, idleTimeoutMs }: CallerLimits,
+  signal: AbortSignal,
 ): Promise<Buffer> {
   const tooLarge = () =>
     new CallError({
@@ -45,26 +47,40 @@
     () => message.destroy(new Error('the caller sent no data within the idle timeout')),
     idleTimeoutMs,
   );
+  const aborted = rejectOnAbort(signal);
+  const read = readChunks(message, (chunk) => {
+    idle.refresh();
+    bytes += chunk.length;
+    if (bytes > bodyBytes) throw tooLarge();
+    if (signal.aborted) throw bodyIncomplete();
+    chunks.push(chunk);
+    return undefined;
+  });
   try {
-    await readChunks(message, (chunk) => {
-      idle.refresh();
-      bytes += chunk.length;
-      if (bytes > bodyBytes) throw tooLarge();
-      chunks.push(chunk);
-      return undefined;
-    });
+    await Promise.race([read, aborted.promise]);
   } finally {
     clearTimeout(idle);
+    aborted.release();
   }
-  if (!message.complete) {
-    throw new CallError({
-      kind: 'cancelled',
-      message: 'the caller disconnected while sending the body',
-    });
-  }
+  if (!message.complete) throw bodyIncomplete();
   return Buffer.concat(chunks);
 }
 
+function bodyIncomplete(): CallError {
+  const message = 'the caller did not send the whole body; send it within the deadline';
+  return new CallError({ kind: 'cancelled', message });
+}
+
+/** Returns a promise that rejects when `signal` aborts, and a function that stops listening. */
+function rejectOnAbort(signal: AbortSignal): { promise: Promise<never>; release(): void } {
+  let onAbort = () => undefined as void;
+  const promise = new Promise<never>((_, reject) => {
+    onAbort = () => reject(bodyIncomplete());
+    signal.addEventListener('abort', onAbort);
+  });
+  return { promise, release: () => signal.removeEventListener('abort', onAbort) };
+}
+
 /** Returns the milliseconds until a call's deadline; 0 after it has passed. */
 export function remainingMs(
   { deadlineMs }: Pick<CallerRequest, 'deadlineMs'>,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import { RateLimits } from './rateLimits';
 import { headerBytes, headerValue } from './rawHeaders';
 import { Saturation } from './saturation';
+import { StopPlan } from './stopPlan';
 import { SuspectCalls } from './suspectCalls';
 import { TurnForwarder } from './turnForwarder';
 
@@ -116,20 +117,19 @@
 
   private readonly saturation: Saturation;
 
-  private isStopping = false;
+  private readonly stopPlan = new StopPlan();
 
-  private isRefusing = false;
+  /** Responses of the requests that are not answered yet. */
+  private readonly openResponses = new Set<http.ServerResponse>();
 
-  private active = 0;
-
-  private lastRequestAtMs = 0;
+  private lastAcceptedAtMs = 0;
 
   constructor(options: GatewayOptions) {
     this.options = options;
     const { clock, domain, headerCodec, log, metrics, turns, permits, quarantine } = options;
     this.load = new EventLoopLoad({ sample: () => options.loopTimes() });
     this.saturation = new Saturation({
-      onStart: () => log.write('entrySaturated', { active: this.active }),
+      onStart: () => log.write('entrySaturated', { active: this.openResponses.size }),
       onEnd: ({ durationMs, calls, abandoned }) =>
         log.write('saturationEnded', { durationMs: Math.round(durationMs), calls, abandoned }),
     });
@@ -194,7 +194,7 @@
   /** Whether this entry should receive new connections, as its readiness probes report. */
   get isReady(): boolean {
     const hasState = this.table !== undefined && this.options.turns.isReady;
-    return hasState && !this.isStopping && !this.lag.isHigh;
+    return hasState && !this.stopPlan.isStopping && !this.lag.isHigh;
   }
 
   /** Share of the last half second in which the event loop was busy, from 0 to 1. */
@@ -214,23 +214,20 @@
 
   /** Number of requests that are not answered yet, with the connections relayed to other entries. */
   get activeRequests(): number {
-    return this.active + this.server.relayedConnections;
+    return this.openResponses.size + this.server.relayedConnections;
   }
 
-  /** Milliseconds since the last request arrived, not counting refused ones after `refuseNew`. */
+  /** Milliseconds since the last request was accepted. */
   get idleMs(): number {
-    return this.options.clock.now() - this.lastRequestAtMs;
+    return this.options.clock.now() - this.lastAcceptedAtMs;
   }
 
-  /** Reports this entry as not ready, and closes each open connection after its next answer. */
-  beginStop(): void {
-    this.isStopping = true;
+  /** Reports this entry as not ready, closes each open connection after its next answer, and refuses
+   * requests that may not end before `endsAtMs`, the clock time at which the process ends. */
+  beginStop(endsAtMs: number): void {
+    this.stopPlan.begin(endsAtMs);
     this.server.beginStop();
-  }
-
-  /** Refuses all further requests, so that those in progress can end before the process stops. */
-  refuseNew(): void {
-    this.isRefusing = true;
+    this.openResponses.forEach(closeAfter);
   }
 
   /** Stops listening and closes all connections. */
@@ -251,7 +248,7 @@
 
   private registerGauges(): void {
     const { metrics } = this.options;
-    metrics.gauge('gateway_active_requests', 'requests under way', () => this.active);
+    metrics.gauge('gateway_active_requests', 'requests under way', () => this.openResponses.size);
     metrics.gauge('gateway_loop_lag_ms', 'smoothed lag of the event loop', () => this.lag.ms);
     metrics.gauge(
       'gateway_loop_utilization',
@@ -276,12 +273,9 @@
   private async serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { clock, metrics, headerCodec } = this.options;
     const requestId = headerCodec.requestIdOf(message.rawHeaders);
-    this.active += 1;
+    this.openResponses.add(response);
     this.saturation.countCall();
-    if (!this.isRefusing) this.lastRequestAtMs = clock.now();
-    if (this.isStopping || this.server.closesAfter(message.socket)) {
-      response.shouldKeepAlive = false;
-    }
+    if (this.stopPlan.isStopping || this.server.closesAfter(message.socket)) closeAfter(response);
     const arrivedAtMs = clock.now();
     const trace = new CallTrace();
     const served = { requestId, response, trace, arrivedAtMs };
@@ -294,7 +288,7 @@
       this.answerError(message, response, failure, requestId);
       this.recordOutcome(served, failure.kind, failure);
     } finally {
-      this.active -= 1;
+      this.openResponses.delete(response);
       metrics.observe('gateway_request', {}, clock.now() - arrivedAtMs);
     }
   }
@@ -308,7 +302,6 @@
     const { headerCodec, clock } = this.options;
     const { table } = this;
     if (!table) throw notConfigured();
-    if (this.isRefusing) throw entryStopping();
     if (Math.random() < this.lag.shedShare) {
       // Closing the connection makes the caller reconnect, possibly to another entry.
       response.shouldKeepAlive = false;
@@ -324,13 +317,17 @@
     const route = table.match(host, target);
     if (!route) throw this.unmatchedTarget(target);
     const callTimeoutMs = Math.min(callHeaders.deadlineMs ?? Infinity, route.timeoutMs);
+    const deadlineMs = arrivedAtMs + callTimeoutMs;
+    this.refuseIfStopping(deadlineMs);
+    this.lastAcceptedAtMs = clock.now();
     const caller = trackCaller(response, callTimeoutMs);
     try {
-      const body = await readCallerBody(message, limits);
+      const { signal } = caller;
+      const body = await readCallerBody(message, limits, signal);
+      // The stop may have begun meanwhile.
+      this.refuseIfStopping(deadlineMs);
       const isBehind = this.lag.isBehind || this.load.utilization > BACKLOG_UTILIZATION;
       if (isBehind) await awaitDeparture(message);
-      const deadlineMs = arrivedAtMs + callTimeoutMs;
-      const { signal } = caller;
       const request: CallerRequest = {
         message,
         response,
@@ -366,6 +363,13 @@
     await this.calls.forward(request);
   }
 
+  /** Throws `leaving` if a call with this deadline could be cut by the end of the process. */
+  private refuseIfStopping(deadlineMs: number): void {
+    if (this.stopPlan.hasTimeFor(deadlineMs)) return;
+    this.options.metrics.count('gateway_stop_refusals_total');
+    throw entryStopping();
+  }
+
   private measureLoad(): void {
     this.load.update();
     this.saturation.update(this.load.utilization, this.options.clock.now());
@@ -450,6 +454,11 @@
   }
 }
 
+/** Closes the connection after an answer whose headers have not been sent yet. */
+function closeAfter(response: http.ServerResponse): void {
+  response.shouldKeepAlive = false;
+}
+
 /** Throws if the caller has left while its request waited unread: the end of its connection comes after
  * the request. */
 async function awaitDeparture({ socket }: http.IncomingMessage): Promise<void> {
