Each grant leaves all that a program has spent at a majority of its keepers

Cause: each keeper forgets a program by its own last write, so the keepers of the first reservations forget them while the program goes on at others. An entry whose replies differ now sends the reservation once more with all that it has learned, before it grants or refuses the turn. An entry remembers an exhausted budget for 5 s only, and the timeout of a route is part of the retention.

--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -10,7 +10,8 @@
 import type { EndpointAnswer } from './endpointExchange';
 import { EventReader } from './eventReader';
 
-/** Added to the promised retention of turns, to cover clock jumps and the time of a restart. */
+/** Added to the promised retention of turns and the time of a turn, to cover clock jumps and the time of
+ * a restart. */
 const RETENTION_MARGIN_MS = 20_000;
 
 /** Number of trailing hexadecimal digits of a session id that select its destination; they give a
@@ -59,7 +60,7 @@
       tokens: callHeaders.maximumTokens,
       budget: program.tokenBudget ?? Infinity,
       previous: route.storesTurns ? callHeaders.previousTurn : undefined,
-      retentionMs: route.retentionMs + RETENTION_MARGIN_MS,
+      retentionMs: route.retentionMs + route.timeoutMs + RETENTION_MARGIN_MS,
     };
     const chain = await this.options.turns.reserve(reservation);
     const tokensPerEvent = findService(service)?.engine?.tokensPerEvent ?? 1;
--- a/packages/turns/src/exhaustedBudgets.ts
+++ b/packages/turns/src/exhaustedBudgets.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '@marjorampin/types';
 
+/** Time after which the keepers are asked again. They retain a program for as long after its last
+ * request as after its last turn, up to this time. */
+const MAXIMUM_AGE_MS = 5_000;
 /** Maximum number of programs that are remembered. */
 const MAXIMUM_PROGRAMS = 10_000;
 
@@ -22,10 +25,10 @@
     this.clock = clock;
   }
 
-  /** Records the settled tokens of a program, which count for `validMs` at least. */
-  record(program: string, tokens: number, validMs: number): void {
+  /** Records the settled tokens of a program, as the keepers have just reported them. */
+  record(program: string, tokens: number): void {
     this.usages.delete(program);
-    this.usages.set(program, { tokens, validUntilMs: this.clock.now() + validMs });
+    this.usages.set(program, { tokens, validUntilMs: this.clock.now() + MAXIMUM_AGE_MS });
     if (this.usages.size <= MAXIMUM_PROGRAMS) return;
     const [oldest] = this.usages.keys();
     if (oldest !== undefined) this.usages.delete(oldest);
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -121,7 +121,8 @@
     return this.monitor.hasMajority(this.groupOf(program));
   }
 
-  /** Sends a request to the keepers of a program; retries until a majority replies as expected. */
+  /** Sends a request to the keepers of a program; retries until a majority replies as expected.
+   * Merged reservations are `complete` if each keeper of that majority stores all of them. */
   async send(program: string, request: GroupRequest): Promise<Reply> {
     const { clock } = this.options;
     const retryUntilMs = clock.now() + QUORUM_RETRY_TIMEOUT_MS;
@@ -247,7 +248,9 @@
   const all = replies.flatMap(({ body }) => (body.case === 'reservations' ? [body.value] : []));
   const others = mergeOthers(all);
   const chain = all.flatMap((reply) => reply.chain);
-  const value = { others, chain, complete: true };
+  // Each reply lists a turn at most once.
+  const complete = all.every((reply) => reply.others.length === others.length);
+  const value = { others, chain, complete };
   return create(ReplySchema, { body: { case: 'reservations', value } });
 }
 
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -59,6 +59,9 @@
   /** Roster version up to which all assigned data is stored; -1 before the first restoration. */
   restoredVersion = -1;
 
+  /** Number of reservations that only other keepers stored until an entry sent them here. */
+  addedReservations = 0;
+
   private readonly options: KeeperHandlerOptions;
 
   private readonly listeners: (() => void)[] = [];
@@ -187,11 +190,19 @@
 
   private async reserve(request: ReserveTokens): Promise<ReplyInit> {
     const { table, clock } = this.options;
-    const { program, reservation, retentionMs, previous, wantsChain, rosterVersion } = request;
+    const { program, reservation, known, retentionMs, previous, wantsChain, rosterVersion } =
+      request;
     if (!reservation) throw missing('reservation');
-    // Updates memory before the disk, so that the next reservation sees this one.
-    const others = table.reserve(program, reservation, clock.now() + retentionMs);
-    await this.write({ case: 'reservation', value: reservation }, program, retentionMs);
+    const expiresAtMs = clock.now() + retentionMs;
+    const lacking = known.filter((each) => table.wouldChange(program, each));
+    this.addedReservations += lacking.length;
+    // Updates memory before the disk, so that the next reservation sees these.
+    lacking.forEach((each) => table.reserve(program, each, expiresAtMs));
+    const others = table.reserve(program, reservation, expiresAtMs);
+    const written = [...lacking, reservation];
+    await Promise.all(
+      written.map((value) => this.write({ case: 'reservation', value }, program, retentionMs)),
+    );
     const chain = wantsChain && previous !== '' ? table.chain(previous) : [];
     const complete = this.isCompleteFor(rosterVersion);
     const value = { others, chain, complete };
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -154,6 +154,11 @@
     handler.onRoster(() => this.restore());
     metrics.gauge('keeper_turns', 'turns held', () => table.size.turns);
     metrics.gauge('keeper_programs', 'programs held', () => table.size.programs);
+    metrics.gauge(
+      'keeper_added_reservations',
+      'reservations that only other keepers stored before',
+      () => handler.addedReservations,
+    );
     metrics.gauge('keeper_complete', '1 when answers prove absence', () =>
       handler.isComplete ? 1 : 0,
     );
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -130,18 +130,20 @@
   private async reserveAndRead(request: TurnReservation): Promise<TurnRecord[]> {
     const { previous } = request;
     const cached = previous === undefined ? [] : this.cache.chain(previous);
-    const first = await this.reserveTokens(request, cached === undefined);
+    const first = await this.reserveTokens(request, { wantsChain: cached === undefined });
+    const settledTokens = totalTokens(othersOf(first, request).filter(({ settled }) => settled));
+    const isExhausted = settledTokens + request.tokens > request.budget;
+    if (isExhausted) this.exhausted.record(request.program, settledTokens);
+    // Also for a turn that is refused: its keepers retain what they know of the program for longer.
+    const repeated = first.complete
+      ? undefined
+      : await this.reserveTokens(request, { known: first.others });
+    if (isExhausted) throw exhausted(request, settledTokens);
     // Concurrent turns may each reserve, at different majorities, before the other's reservation is
     // written. Each therefore sends its request again; the last to do so sees all reservations. If
     // all other turns are settled, no repeat is needed.
-    const others = othersOf(first, request);
-    const settledTokens = totalTokens(others.filter(({ settled }) => settled));
-    if (settledTokens + request.tokens > request.budget) {
-      this.exhausted.record(request.program, settledTokens, request.retentionMs);
-      throw exhausted(request, settledTokens);
-    }
-    const isOnlyRunningTurn = others.every(({ settled }) => settled);
-    const last = isOnlyRunningTurn ? first : await this.reserveTokens(request, false);
+    const isOnlyRunningTurn = othersOf(first, request).every(({ settled }) => settled);
+    const last = repeated ?? (isOnlyRunningTurn ? first : await this.reserveTokens(request, {}));
     const spentTokens = totalTokens(othersOf(last, request));
     if (spentTokens + request.tokens > request.budget) throw exhausted(request, spentTokens);
     return cached ?? (await this.readChain(previous ?? '', first.chain));
@@ -149,10 +151,10 @@
 
   private async reserveTokens(
     { program, turn, tokens, previous = '', retentionMs }: TurnReservation,
-    wantsChain: boolean,
+    { wantsChain = false, known = [] }: { wantsChain?: boolean; known?: Reservation[] },
   ): Promise<Reservations> {
     const reservation = { turn, tokens };
-    const value = { program, reservation, retentionMs, previous, wantsChain };
+    const value = { program, reservation, retentionMs, previous, wantsChain, known };
     const { body } = await this.group.send(program, { case: 'reserveTokens', value });
     if (body.case === 'reservations') return body.value;
     throw keepersUnavailable(`unexpected reply ${body.case ?? 'without a body'}`);
