Endpoints that are lost together count as one incident of their calls

Cause: the three crashes counted as independent evidence against the target that their calls shared, and answers of calls that were still running didn't count any more. Suspects now carry how many incidents were known when they were sent; crashes with the same number, at most 5 s apart, are one incident. An answer ends a quarantine.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -14,7 +14,7 @@
 import type { EndpointCrashes } from './endpointCrashes';
 import { type EndpointAnswer, exchangeWithEndpoint } from './endpointExchange';
 import type { RateLimits } from './rateLimits';
-import type { SuspectCalls } from './suspectCalls';
+import type { PriorCrashes, SuspectCalls } from './suspectCalls';
 
 /** Statuses from which callers conclude that their call did not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -76,11 +76,12 @@
     while (true) {
       const endpoint = await this.chooseEndpoint(request, sent, history);
       this.trace(request, endpoint);
+      const priors = this.options.suspects.priorCrashesOf(request.input);
       try {
         return await this.send(request, sent, endpoint, handleAnswer);
       } catch (error) {
         const failure = toCallError(error);
-        const isProbed = this.recordInterruption(request, endpoint, failure);
+        const isProbed = this.recordInterruption(request, endpoint, failure, priors);
         history.record(failure);
         const isBegun = request.response.headersSent && !route.isResumable;
         const isFinal = request.signal.aborted || isBegun;
@@ -149,9 +150,10 @@
     { input, route, signal }: CallerRequest,
     endpoint: Endpoint,
     failure: CallError,
+    priors: PriorCrashes,
   ): Promise<void> {
     const { crashes, suspects } = this.options;
-    const call = () => suspects.suspectOf(input, route.name);
+    const call = () => suspects.suspectOf(input, route.name, priors);
     const isEndpointFailure = failure.kind === 'endpoint-failed';
     if (signal.aborted) {
       if (failure.execution === 'unknown') crashes.recordAbandoned(endpoint, call());
--- a/packages/gateway/src/suspectCalls.ts
+++ b/packages/gateway/src/suspectCalls.ts
@@ -30,6 +30,14 @@
   endpoints: EndpointCounts;
 }
 
+/** Numbers of independent crashes of an input and of its target. */
+export interface PriorCrashes {
+  priorCrashes: number;
+  priorTargetCrashes: number;
+}
+
+const NO_CRASHES: PriorCrashes = { priorCrashes: 0, priorTargetCrashes: 0 };
+
 /** Options of `SuspectCalls`. */
 export interface SuspectCallsOptions {
   quarantine: Quarantine;
@@ -109,15 +117,31 @@
     if (this.answeredTargets.size > MAXIMUM_TARGETS && oldest !== undefined) {
       this.answeredTargets.delete(oldest);
     }
-    if (this.standingOf(input).crashes > 0) this.quarantine.reportAnswer(input.digests);
+    const { crashes, quarantined } = this.standingOf(input);
+    if (crashes > 0 || quarantined) this.quarantine.reportAnswer(input.digests);
   }
 
   /**
    * Returns a call as a suspect of a crash. Its target is suspected only if no other call with it was
    * answered: many targets, such as that of a model, are shared by innocent calls.
    */
-  suspectOf({ digest, target, targetKey }: CallInput, route: string): Suspect {
-    return this.answeredTargets.has(targetKey) ? { digest, route } : { digest, target, route };
+  suspectOf(
+    { digest, target, targetKey }: CallInput,
+    route: string,
+    { priorCrashes, priorTargetCrashes }: Partial<PriorCrashes> = {},
+  ): Suspect {
+    if (this.answeredTargets.has(targetKey)) return { digest, route, priorCrashes };
+    return { digest, target, route, priorCrashes, priorTargetCrashes };
+  }
+
+  /** Returns what is known of an input and its target, before a call is sent. */
+  priorCrashesOf(input: CallInput): PriorCrashes {
+    if (this.standingOf(input).crashes === 0) return NO_CRASHES;
+    const crashesOf = (digest: string) => this.quarantine.standingOf(() => [digest]).crashes;
+    return {
+      priorCrashes: crashesOf(input.digest),
+      priorTargetCrashes: crashesOf(input.target),
+    };
   }
 
   private count(service: string, reason: HoldReason): void {
--- a/packages/quarantine/src/__tests__/crashEvidence.test.ts
+++ b/packages/quarantine/src/__tests__/crashEvidence.test.ts
@@ -13,7 +13,8 @@
 
 /** A step: a crash of the numbered endpoint with the inputs that it interrupted (`suspectsOf`), or inputs
  * and targets of calls that ran to an answer. */
-type Step = { crash: number; inputs: string } | { answered: string } | { lifted: string };
+type Step =
+  { crash: number; inputs: string; prior?: number } | { answered: string } | { lifted: string };
 
 const MINUTE_MS = 60_000;
 
@@ -24,12 +25,18 @@
   return [...text].map((letter) => ({ digest: letter, route: 'r' }));
 }
 
+/** Returns suspects that were sent when this number of crashes was known of each. */
+function withPrior(suspects: Suspect[], prior: number | undefined): Suspect[] {
+  if (prior === undefined) return suspects;
+  return suspects.map((each) => ({ ...each, priorCrashes: prior, priorTargetCrashes: prior }));
+}
+
 function play(steps: Step[], stepMs = 100): QuarantineRecord {
   return steps.reduce<QuarantineRecord>((record, step, index) => {
     const atMs = index * stepMs;
     if ('answered' in step) return clearSuspect(record, [...step.answered], atMs);
     if ('lifted' in step) return liftInput(record, step.lifted);
-    const suspects = step.inputs.split(' ').flatMap(suspectsOf);
+    const suspects = withPrior(step.inputs.split(' ').flatMap(suspectsOf), step.prior);
     return addCrash(record, { endpoint: `e${step.crash}`, service: 's', atMs, suspects });
   }, EMPTY_RECORD);
 }
@@ -248,6 +255,80 @@
     repeated: '',
     suspected: 'Tghi',
   },
+  // A lost rack interrupts calls that were sent before any crash was known.
+  {
+    name: 'endpoints that end together convict the target that their calls share',
+    steps: [
+      { crash: 1, inputs: 'a@T', prior: 0 },
+      { crash: 2, inputs: 'b@T', prior: 0 },
+      { crash: 3, inputs: 'c@T', prior: 0 },
+    ],
+    quarantined: '',
+    repeated: '',
+    suspected: 'Tabc',
+  },
+  {
+    name: 'endpoints that end together convict the input that many programs share',
+    steps: [1, 2, 3, 4, 5, 6, 7].map((crash) => ({ crash, inputs: 'y', prior: 0 })),
+    quarantined: '',
+    repeated: '',
+    suspected: 'y',
+  },
+  {
+    name: 'an input that is sent again after each loss is not quarantined',
+    steps: [
+      { crash: 1, inputs: 'y', prior: 0 },
+      { crash: 2, inputs: 'y', prior: 0 },
+      { crash: 3, inputs: 'y', prior: 1 },
+      { crash: 4, inputs: 'y', prior: 2 },
+    ],
+    quarantined: 'y',
+    repeated: '',
+    suspected: '',
+  },
+  {
+    name: 'crashes that lie apart are independent even if their calls were sent before',
+    steps: [1, 2, 3].map((crash) => ({ crash, inputs: 'y', prior: 0 })),
+    stepMs: 6_000,
+    quarantined: 'y',
+    repeated: '',
+    suspected: '',
+  },
+  {
+    name: 'a report with a later run of an input turns a loss into two crashes',
+    steps: [
+      { crash: 1, inputs: 'y', prior: 0 },
+      { crash: 2, inputs: 'y', prior: 0 },
+      { crash: 2, inputs: 'y', prior: 1 },
+    ],
+    quarantined: '',
+    repeated: '',
+    suspected: 'y',
+  },
+  {
+    name: 'an answer leaves an input in quarantine',
+    steps: [
+      { crash: 1, inputs: 'g' },
+      { crash: 2, inputs: 'g' },
+      { crash: 3, inputs: 'g' },
+      { answered: 'g' },
+    ],
+    quarantined: '',
+    repeated: '',
+    suspected: '',
+  },
+  {
+    name: 'an answer to another call leaves a target in quarantine',
+    steps: [
+      { crash: 1, inputs: 'g@T' },
+      { crash: 2, inputs: 'h@T' },
+      { crash: 3, inputs: 'i@T' },
+      { answered: 'xT' },
+    ],
+    quarantined: '',
+    repeated: '',
+    suspected: '',
+  },
   {
     name: 'a lifted input starts without suspicion',
     steps: [
--- a/packages/quarantine/src/__tests__/innocentInputs.test.ts
+++ b/packages/quarantine/src/__tests__/innocentInputs.test.ts
@@ -20,6 +20,10 @@
 /** Time to react to the third crash, and number of requests that may reach endpoints later. */
 const REACTION_ROUNDS = 15;
 const TOLERATED_SENDS = 3;
+/** Share of the rounds in which some endpoints end whatever they run, and their number. */
+const LOSS_SHARE = 0.02;
+const LOST_ENDPOINTS = 3;
+const SHARED_INPUT = 'yes';
 
 /** A call of a caller, whose input is deadly if its name begins with `g`. */
 interface FleetCall {
@@ -40,6 +44,9 @@
 
   private crashCount = 0;
 
+  /** Independent crashes of each input when the calls of the round were sent. */
+  private countsAtSend = new Map<string, number>();
+
   private lastCrashRounds = new Map<string, number>();
 
   constructor(random: () => number) {
@@ -48,7 +55,9 @@
 
   /** Plays one round with some innocent and deadly calls. */
   play(round: number, deadly: string[], endpoints: number): void {
-    const innocent = Array.from({ length: 6 }, (_, index) => `i${round}-${index}`);
+    const own = Array.from({ length: 6 }, (_, index) => `i${round}-${index}`);
+    // Many programs send the same input.
+    const innocent = [...own, ...Array.from({ length: 3 }, () => SHARED_INPUT)];
     const calls = [
       ...this.waiting,
       ...innocent.map((input) => ({ input, tries: 0 })),
@@ -62,7 +71,9 @@
       const endpoint = this.endpointOf(call, endpoints);
       batches.set(endpoint, [...(batches.get(endpoint) ?? []), call]);
     });
-    batches.forEach((batch) => this.run(batch, round));
+    this.countsAtSend = countCrashes(this.record);
+    const lost = this.random() < LOSS_SHARE ? LOST_ENDPOINTS : 0;
+    batches.forEach((batch, endpoint) => this.run(batch, round, endpoint < lost));
   }
 
   private isHeldBack(input: string, round: number): boolean {
@@ -79,10 +90,10 @@
     return rank < 0 ? Math.floor(this.random() * endpoints) : rank % endpoints;
   }
 
-  private run(batch: FleetCall[], round: number): void {
+  private run(batch: FleetCall[], round: number, isLost: boolean): void {
     const atMs = round * ROUND_MS;
     const guilty = batch.filter(({ input }) => input.startsWith('g'));
-    if (guilty.length === 0) {
+    if (guilty.length === 0 && !isLost) {
       batch.forEach(({ input }) => {
         this.record = clearSuspect(this.record, [input], atMs);
       });
@@ -93,7 +104,12 @@
       this.crashRounds.set(input, [...(this.crashRounds.get(input) ?? []), round]);
     });
     batch.forEach(({ input }) => this.lastCrashRounds.set(input, round));
-    const suspects = batch.map(({ input }) => ({ digest: input, route: 'r' }));
+    const counts = this.countsAtSend;
+    const suspects = batch.map(({ input }) => ({
+      digest: input,
+      route: 'r',
+      priorCrashes: counts.get(input) ?? 0,
+    }));
     const endpoint = `e${this.crashCount}`;
     this.record = addCrash(this.record, { endpoint, service: 's', atMs, suspects });
     const repeated = batch.filter(({ input, tries }) => !input.startsWith('g') && tries < TRIES);
--- a/packages/quarantine/src/crashEvidence.ts
+++ b/packages/quarantine/src/crashEvidence.ts
@@ -1,15 +1,17 @@
+import { countIncidents, incidentsOf } from './incidents';
 import type {
   QuarantinedInput,
   QuarantineRecord,
   RecordedCrash,
   Suspect,
 } from './quarantineRecord';
+import { digestsOf, isOf } from './suspect';
 
-/** Number of crashes after which an input is delayed. */
+/** Number of independent crashes after which an input is delayed. */
 const CRASHES_TO_DELAY = 2;
-/** Number of crashes after which an input is quarantined if no other one explains them. */
+/** Number of independent crashes after which an input is quarantined if no other one explains them. */
 const CRASHES_TO_QUARANTINE = 3;
-/** Number of crashes after which an input is quarantined even if others were in all of them. */
+/** Number of independent crashes after which an input is quarantined even if others were in all. */
 const MAXIMUM_CRASHES = 6;
 
 /** Time for which a crash is evidence. */
@@ -41,16 +43,16 @@
 }
 
 /**
- * Removes an input that ran to an answer, and its target, from the suspects. Answers crashes that
- * interrupt whole batches: all but one of the calls are innocent, and show it when they are sent again.
+ * Removes an input that ran to an answer, and its target, from the suspects and from the quarantine.
+ * Answers crashes that interrupt whole batches: all but one of the calls are innocent, and show it
+ * when they are sent again, or when calls that were in progress elsewhere end.
  */
 export function clearSuspect(
   record: QuarantineRecord,
   digests: string[],
   nowMs: number,
 ): QuarantineRecord {
-  const crashes = digests.reduce(withoutSuspect, record.crashes);
-  return evaluate({ ...record, crashes }, nowMs);
+  return evaluate(digests.reduce(liftInput, record), nowMs);
 }
 
 /** Removes an input from the quarantine and from the suspects. */
@@ -61,14 +63,9 @@
   };
 }
 
-/** Returns the number of unexplained crashes of each suspected input and target, by digest. */
+/** Returns the number of independent crashes of each suspected input and target, by digest. */
 export function countCrashes({ crashes }: QuarantineRecord): Map<string, number> {
-  const counts = new Map<string, number>();
-  crashes.forEach(({ suspects }) => {
-    const digests = new Set(suspects.flatMap(digestsOf));
-    digests.forEach((digest) => counts.set(digest, (counts.get(digest) ?? 0) + 1));
-  });
-  return counts;
+  return countIncidents(crashes);
 }
 
 /**
@@ -115,17 +112,18 @@
 
 /** An input that was in nearly all of the crashes explains them just as well. */
 function isCause(digest: string, own: RecordedCrash[]): boolean {
-  if (own.length >= MAXIMUM_CRASHES) return true;
+  const incidents = incidentsOf(own, digest);
+  if (incidents.length >= MAXIMUM_CRASHES) return true;
   const suspects = own.flatMap((crash) => crash.suspects);
   const ownDigests = new Set(suspects.filter((each) => isOf(each, digest)).flatMap(digestsOf));
-  const others = own.map((crash) => ({
-    ...crash,
-    suspects: crash.suspects.filter((suspect) => !isOf(suspect, digest)),
-  }));
-  const counts = [...countCrashes({ crashes: others, inputs: [] })]
-    .filter(([other]) => !ownDigests.has(other))
-    .map(([, count]) => count);
-  return Math.max(0, ...counts) < own.length - 1;
+  const counts = new Map<string, number>();
+  incidents.forEach((crashes) => {
+    const others = crashes.flatMap((crash) => crash.suspects).filter((each) => !isOf(each, digest));
+    const digests = new Set(others.flatMap(digestsOf));
+    digests.forEach((other) => counts.set(other, (counts.get(other) ?? 0) + 1));
+  });
+  const otherCounts = [...counts].filter(([other]) => !ownDigests.has(other));
+  return Math.max(0, ...otherCounts.map(([, count]) => count)) < incidents.length - 1;
 }
 
 /** Marks the crashes of quarantined inputs as explained. */
@@ -153,30 +151,23 @@
   }));
 }
 
-function withoutTarget({ digest, route }: Suspect): Suspect {
-  return { digest, route };
+function withoutTarget({ digest, route, priorCrashes }: Suspect): Suspect {
+  return { digest, route, priorCrashes };
 }
 
 function inputOf({ digest }: Suspect): string {
   return digest;
 }
 
-function digestsOf({ digest, target }: Suspect): string[] {
-  return target === undefined ? [digest] : [digest, target];
-}
-
-function isOf(suspect: Suspect, digest: string): boolean {
-  return suspect.digest === digest || suspect.target === digest;
-}
-
 /** A target counts only if no process has seen an answer to a call with it, and if no two of the
  * interrupted inputs have it. */
 function mergeSuspects(known: Suspect[], added: Suspect[]): Suspect[] {
   const merged = new Map(known.map((suspect) => [suspect.digest, suspect]));
   added.forEach((suspect) => {
-    const isNew = !merged.has(suspect.digest);
-    const hasTarget = isNew || merged.get(suspect.digest)?.target !== undefined;
-    merged.set(suspect.digest, hasTarget ? suspect : withoutTarget(suspect));
+    const other = merged.get(suspect.digest);
+    const hasTarget = !other || other.target !== undefined;
+    const earliest = other ? withEarlierPriors(suspect, other) : suspect;
+    merged.set(suspect.digest, hasTarget ? earliest : withoutTarget(earliest));
   });
   const suspects = [...merged.values()].slice(0, MAXIMUM_SUSPECTS);
   const targets = suspects.map(({ target }) => target);
@@ -185,3 +176,17 @@
     return isShared ? withoutTarget(suspect) : suspect;
   });
 }
+
+/** A run of a suspect that was sent earlier proves less. */
+function withEarlierPriors(one: Suspect, other: Suspect): Suspect {
+  return {
+    ...one,
+    priorCrashes: minimumOf(one.priorCrashes, other.priorCrashes),
+    priorTargetCrashes: minimumOf(one.priorTargetCrashes, other.priorTargetCrashes),
+  };
+}
+
+function minimumOf(one: number | undefined, other: number | undefined): number | undefined {
+  if (one === undefined || other === undefined) return one ?? other;
+  return Math.min(one, other);
+}
--- a/packages/quarantine/src/quarantineRecord.ts
+++ b/packages/quarantine/src/quarantineRecord.ts
@@ -7,6 +7,9 @@
   /** Digest of the target; absent if other calls with this target were answered. */
   target: z.string().optional(),
   route: z.string(),
+  /** Independent crashes of the input and of its target that were known when the call was sent. */
+  priorCrashes: z.number().optional(),
+  priorTargetCrashes: z.number().optional(),
 });
 
 const recordedCrash = z.object({
