A keeper's log keeps a program as long as its memory does

Cause: in memory a program expires as a whole, but the replay left out each event by its own age, and segments were deleted by the same measure. Now all events of a program live as long as the one that expires last, and a program is written again before the segments of its first events expire; if that fails, only the segments that hold such a program stay.

budgetLifetimes.test.ts: with the former lifetimes 5 of its 12 cases fail (640 and 720 of 480 tokens, a chain that can't be read), all pass now.

--- a/packages/turns/src/__tests__/budgetLifetimes.test.ts
+++ b/packages/turns/src/__tests__/budgetLifetimes.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import test from 'node:test';
+import test, { type TestContext } from 'node:test';
 import { create } from '@bufbuild/protobuf';
 import { TurnRecordSchema } from '@marjorampin/protocol';
 import { toCallError } from '@marjorampin/types';
@@ -17,6 +17,10 @@
   domain?: string;
   /** Keeper that is down meanwhile. */
   down?: string;
+  /** Keepers that are restarted first. */
+  restarted?: string;
+  /** Set the wall clocks of all hosts ahead by this time first. */
+  wallOffsetS?: number;
 }
 
 interface LifetimeCase {
@@ -56,6 +60,52 @@
     ],
     granted: BUDGET,
   },
+  {
+    name: 'all keepers restart after the retention of its first turns',
+    phases: [
+      { atS: 0, turns: 2 },
+      { atS: 40, turns: 1 },
+      { atS: 75, turns: 1 },
+      { atS: 86, turns: 6, restarted: 'abc' },
+    ],
+    granted: BUDGET,
+  },
+  {
+    name: 'all keepers restart again and again',
+    phases: [
+      { atS: 0, turns: 1 },
+      ...[55, 110, 165, 220, 275, 330].map((atS) => ({ atS, turns: 1, restarted: 'abc' })),
+    ],
+    granted: BUDGET,
+  },
+  {
+    name: 'keepers restart in turn, and others are down',
+    phases: [
+      { atS: 0, turns: 3, down: 'c' },
+      { atS: 50, turns: 1, down: 'a', restarted: 'b' },
+      { atS: 100, turns: 1, down: 'b', restarted: 'ac' },
+      { atS: 150, turns: 4, down: 'c', restarted: 'ab' },
+    ],
+    granted: BUDGET,
+  },
+  {
+    name: 'the wall clocks step ahead before a restart',
+    phases: [
+      { atS: 0, turns: 3 },
+      { atS: 60, turns: 1 },
+      { atS: 120, turns: 5, restarted: 'abc', wallOffsetS: 8 },
+    ],
+    granted: BUDGET,
+  },
+  {
+    name: 'the wall clocks step back before a restart',
+    phases: [
+      { atS: 0, turns: 3 },
+      { atS: 60, turns: 1 },
+      { atS: 120, turns: 5, restarted: 'abc', wallOffsetS: -8 },
+    ],
+    granted: BUDGET,
+  },
   {
     name: 'a program returns after all keepers have forgotten it',
     phases: [
@@ -66,41 +116,119 @@
   },
 ];
 
+async function startKeepers(context: TestContext): Promise<ReachableKeepers> {
+  const keepers = new ReachableKeepers();
+  await keepers.start();
+  context.after(() => keepers.close());
+  return keepers;
+}
+
+interface TestTurn {
+  turn: string;
+  program?: string;
+  previous?: string;
+}
+
+const RESERVATION = {
+  program: 'p',
+  tokens: TOKENS,
+  budget: BUDGET,
+  previous: undefined,
+  retentionMs: RETENTION_MS,
+};
+
 /** Runs one turn; returns the tokens that it was granted. */
-async function runTurn(store: TurnStore, turn: string): Promise<number> {
+async function runTurn(
+  store: TurnStore,
+  { turn, program = 'p', previous }: TestTurn,
+): Promise<number> {
   const reservation = {
-    program: 'p',
+    program,
     turn,
     tokens: TOKENS,
     budget: BUDGET,
-    previous: undefined,
+    previous,
     retentionMs: RETENTION_MS,
   };
+  let ancestors: string[] = [];
   try {
-    await store.reserve(reservation);
+    ancestors = (await store.reserve(reservation)).map((record) => record.turn);
   } catch (error) {
     assert.equal(toCallError(error).kind, 'budget-exhausted');
     return 0;
   }
-  const fields = { program: 'p', turn, outputTokens: TOKENS, retentionMs: RETENTION_MS };
+  const fields = { program, turn, ancestors, outputTokens: TOKENS, retentionMs: RETENTION_MS };
   await store.commit(create(TurnRecordSchema, fields));
   return TOKENS;
 }
 
 // Guards against tokens that are granted twice because keepers forget a program at different times.
 CASES.forEach(({ name, phases, granted }) => {
-  test(`BUDGET: a budget holds although ${name}`, async () => {
-    const keepers = new ReachableKeepers();
+  test(`BUDGET: a budget holds although ${name}`, async (context) => {
+    const keepers = await startKeepers(context);
     let total = 0;
-    for (const { atS, turns, domain = 'a', down } of phases) {
+    for (const { atS, turns, domain = 'a', down, restarted = '', wallOffsetS } of phases) {
       await keepers.advance(atS * 1_000 - keepers.clock.now());
+      if (wallOffsetS !== undefined) keepers.clock.wallOffsetMs = wallOffsetS * 1_000;
+      await Promise.all([...restarted].map((id) => keepers.restart(id)));
       ['a', 'b', 'c'].forEach((id) => keepers.reachable.add(id));
       if (down) keepers.reachable.delete(down);
       const store = keepers.createTurnStore(domain);
       for (let turn = 0; turn < turns; turn += 1) {
-        total += await runTurn(store, `${atS}-${turn}`);
+        total += await runTurn(store, { turn: `${atS}-${turn}` });
       }
     }
     assert.equal(total, granted);
   });
 });
+
+// Guards against turns of a running program that a restart of all keepers forgets.
+test('LOST: a chain that is older than the retention can be continued after a restart', async (context) => {
+  const keepers = await startKeepers(context);
+  let previous: string | undefined;
+  for (const turn of ['t0', 't1', 't2', 't3']) {
+    await Promise.all(['a', 'b', 'c'].map((id) => keepers.restart(id)));
+    const granted = await runTurn(keepers.createTurnStore(), {
+      turn,
+      ...(previous && { previous }),
+    });
+    assert.equal(granted, TOKENS);
+    previous = turn;
+    await keepers.advance(50_000);
+  }
+});
+
+// Guards against a long program that keeps all segments of the log on the disk.
+test('the log of a keeper grows with the age of a program', async (context) => {
+  const keepers = await startKeepers(context);
+  let most = 0;
+  for (let turn = 0; turn < 20; turn += 1) {
+    await runTurn(keepers.createTurnStore(), { turn: `long${turn}`, program: `p${turn % 4}` });
+    await runTurn(keepers.createTurnStore(), { turn: `short${turn}`, program: `q${turn}` });
+    await keepers.advance(30_000);
+    if (turn === 9) most = await keepers.segmentCount('a');
+  }
+  assert.ok((await keepers.segmentCount('a')) <= 2 * most);
+  await keepers.advance(4 * RETENTION_MS);
+  assert.ok((await keepers.segmentCount('a')) <= 1);
+});
+
+// Guards against the loss of a running program whose rewrite failed, and against a disk that stays full.
+test('segments of programs that could not be rewritten are deleted', async (context) => {
+  const keepers = await startKeepers(context);
+  const store = keepers.createTurnStore();
+  for (let turn = 0; turn < 5; turn += 1) {
+    await runTurn(store, { turn: `other${turn}`, program: `q${turn}` });
+  }
+  await runTurn(store, { turn: 'first' });
+  const full = await keepers.segmentCount('a');
+  keepers.failDisk('a');
+  keepers.failDisk('b');
+  for (let tries = 0; tries < 3; tries += 1) {
+    // Its keepers retain the program, although they can't write the reservation.
+    store.reserve({ ...RESERVATION, turn: `try${tries}` }).catch(() => undefined);
+    await keepers.advance(50_000);
+  }
+  const left = await keepers.segmentCount('a');
+  assert.ok(left > 0 && left < full, `${left} of ${full} segments are left`);
+});
--- a/packages/turns/src/__tests__/simulatedKeepers.ts
+++ b/packages/turns/src/__tests__/simulatedKeepers.ts
@@ -17,7 +17,7 @@
 import type fc from 'fast-check';
 import { KeeperHandler } from '../keeperHandler';
 import { ProgramTable } from '../programTable';
-import { replayEvent } from '../replayEvent';
+import { replayEvents } from '../replayEvents';
 import { restoreFromPeers } from '../restoration';
 
 /** Outcome of sending one message. */
@@ -233,7 +233,7 @@
 
   private createHandler(disk: SimulatedDisk): KeeperHandler {
     const table = new ProgramTable();
-    disk.synced.forEach((event) => replayEvent(table, event, this.clock));
+    replayEvents(table, disk.synced, this.clock);
     const { clock, hash } = this;
     const listValues = async () => Err(unavailable());
     const lossLimit = LOSS_LIMIT;
--- a/packages/turns/src/durableLog.ts
+++ b/packages/turns/src/durableLog.ts
@@ -25,13 +25,20 @@
   expiresAtMs: number;
 }
 
+/** Share of the retention after which a program's events are due to be rewritten; leaves time to
+ * repeat a failed rewrite before their segments expire. */
+const REWRITE_SHARE = 0.5;
+
 interface PendingAppend {
   event: KeptEvent;
   resolve(): void;
   reject(error: unknown): void;
 }
 
-/** Log of checksummed events on disk. Events that are appended concurrently share one sync. */
+/**
+ * Log of checksummed events on disk. Events that are appended concurrently share one sync. Segments
+ * are deleted by the age of their events; a program that lives on is rewritten before that.
+ */
 export class DurableLog {
   private readonly options: Required<DurableLogOptions>;
 
@@ -45,6 +52,9 @@
 
   private pending: PendingAppend[] = [];
 
+  /** Wall time at which the oldest event of each program is due to be rewritten. */
+  private readonly rewriteAtMs = new Map<string, number>();
+
   private isWriting = false;
 
   constructor({ segmentBytes = DEFAULT_SEGMENT_BYTES, ...options }: DurableLogOptions) {
@@ -61,6 +71,7 @@
       const read = this.readSegment(name, await readFile(join(folder, name)));
       const expiresAtMs = read.reduce((latest, event) => Math.max(latest, expiryOf(event)), 0);
       this.segments.push({ name, expiresAtMs });
+      read.forEach((event) => this.scheduleRewrite(event));
       events.push(...read);
       this.nextSegmentNumber = Number(SEGMENT_NAME.exec(name)?.[1]) + 1;
     }
@@ -69,21 +80,47 @@
 
   /** Appends an event; resolves once it is synced to disk. */
   append(event: KeptEvent): Promise<void> {
+    this.scheduleRewrite(event);
     return new Promise((resolve, reject) => {
       this.pending.push({ event, resolve, reject });
       if (!this.isWriting) this.flush();
     });
   }
 
-  /** Deletes segments in which every event has expired. */
-  async dropExpired(wallTimeMs: number): Promise<void> {
+  /** Returns the programs whose oldest event is due to be rewritten. */
+  programsToRewrite(wallTimeMs: number): string[] {
+    return [...this.rewriteAtMs].filter(([, dueMs]) => dueMs <= wallTimeMs).map(([id]) => id);
+  }
+
+  /** Replaces all earlier events of a program; without events, the program is forgotten. */
+  async rewrite(program: string, events: KeptEvent[]): Promise<void> {
+    const dueMs = this.rewriteAtMs.get(program);
+    this.rewriteAtMs.delete(program);
+    try {
+      await Promise.all(events.map((event) => this.append(event)));
+    } catch (error) {
+      if (dueMs !== undefined) this.rewriteAtMs.set(program, dueMs);
+      throw error;
+    }
+  }
+
+  /** Deletes segments in which every event has expired, except those that hold one of `programs`. */
+  async dropExpired(wallTimeMs: number, programs: ReadonlySet<string> = new Set()): Promise<void> {
     const current = this.file ? this.segments.at(-1) : undefined;
     const expired = this.segments.filter(
       (segment) => segment !== current && segment.expiresAtMs < wallTimeMs,
     );
     for (const segment of expired) {
-      await unlink(join(this.options.folder, segment.name));
-      this.segments.splice(this.segments.indexOf(segment), 1);
+      const path = join(this.options.folder, segment.name);
+      const isNeeded =
+        programs.size > 0 &&
+        this.readSegment(segment.name, await readFile(path)).some((event) =>
+          programs.has(event.program),
+        );
+      if (!isNeeded) {
+        await unlink(path);
+        this.segments.splice(this.segments.indexOf(segment), 1);
+      }
     }
   }
 
@@ -93,6 +130,12 @@
     this.file = undefined;
   }
 
+  private scheduleRewrite({ program, writtenAtMs, retentionMs }: KeptEvent): void {
+    const dueMs = writtenAtMs + retentionMs * REWRITE_SHARE;
+    const earliestMs = Math.min(dueMs, this.rewriteAtMs.get(program) ?? Infinity);
+    this.rewriteAtMs.set(program, earliestMs);
+  }
+
   private async flush(): Promise<void> {
     this.isWriting = true;
     while (this.pending.length > 0) {
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -11,11 +11,12 @@
 } from '@marjorampin/protocol';
 import { type KeyValueStore, WatchedPrefix } from '@marjorampin/store';
 import { type Clock, formatPeerAddress, type PeerAddress } from '@marjorampin/types';
+import { compactLog } from './compactLog';
 import { DurableLog } from './durableLog';
 import { KeeperHandler } from './keeperHandler';
 import { type KeeperState, readKeeperState, writeKeeperState } from './keeperState';
 import { ProgramTable } from './programTable';
-import { replayEvent } from './replayEvent';
+import { replayEvents } from './replayEvents';
 import { countDepartures, restoreFromPeers } from './restoration';
 import { type RetirementOrders, RosterMaintainer } from './rosterMaintainer';
 import { RelayedStore } from './relayedStore';
@@ -25,8 +26,8 @@
 const RESTORATION_RETRY_DELAY_MS = 200;
 /** Timeout for reading the restored version of another keeper; the next round retries it. */
 const VERSION_TIMEOUT_MS = 1_000;
-/** Interval between removals of expired data. */
-const EXPIRY_INTERVAL_MS = 5_000;
+/** Interval between removals of expired data from memory and log. */
+const COMPACTION_INTERVAL_MS = 5_000;
 
 /** Options of `KeeperProcess`. */
 export interface KeeperProcessOptions {
@@ -67,7 +68,9 @@
 
   private rosterMaintainer: RosterMaintainer | undefined;
 
-  private expiry: NodeJS.Timeout | undefined;
+  private compaction: NodeJS.Timeout | undefined;
+
+  private isCompacting = false;
 
   private state: KeeperState = { disk: '', intact: false, restoredVersion: -1, isNew: true };
 
@@ -93,7 +96,7 @@
     // so a lost disk is assumed.
     this.hasLostDisk = !this.state.isNew && !this.state.intact;
     const events = await this.durableLog.replay();
-    events.forEach((event) => replayEvent(this.table, event, clock));
+    replayEvents(this.table, events, clock);
     const handler = await this.createHandler();
     this.handler = handler;
     const peers = new PeerPool({ handler, clock, supervision: 'during calls' });
@@ -114,7 +117,7 @@
       adopt: (roster) => handler.adopt(roster),
       areOthersRestored: (roster) => this.areOthersRestored(roster),
     });
-    this.expiry = setInterval(() => this.expire(), EXPIRY_INTERVAL_MS);
+    this.compaction = setInterval(() => this.compact(), COMPACTION_INTERVAL_MS);
     log.write('processStarted', {
       role: 'keeper',
       replayed: events.length,
@@ -132,7 +135,7 @@
   /** Stops listening and closes the log. */
   async stop(): Promise<void> {
     this.isStopped = true;
-    clearInterval(this.expiry);
+    clearInterval(this.compaction);
     this.rosterMaintainer?.stop();
     this.values?.stop();
     this.peers?.close();
@@ -251,11 +254,14 @@
     }
   }
 
-  private expire(): void {
+  private async compact(): Promise<void> {
     const { clock, log } = this.options;
-    this.table.expire(clock.now());
-    this.durableLog.dropExpired(clock.wallTime()).catch((error: Error) => {
-      log.write('diskFailed', { error: error.message, step: 'drop' });
+    const { table, durableLog } = this;
+    if (this.isCompacting) return;
+    this.isCompacting = true;
+    await compactLog({ table, durableLog, clock }).catch((error: Error) => {
+      log.write('diskFailed', { error: error.message, step: 'compact' });
     });
+    this.isCompacting = false;
   }
 }
--- a/packages/turns/src/programTable.ts
+++ b/packages/turns/src/programTable.ts
@@ -25,6 +25,13 @@
   hasMore: boolean;
 }
 
+/** What a keeper stores of one program. */
+export interface ProgramContents {
+  reservations: Reservation[];
+  records: TurnRecord[];
+  expiresAtMs: number;
+}
+
 /** In-memory reservations and turns of a keeper by program, removed when they expire. */
 export class ProgramTable {
   private readonly programs = new Map<string, StoredProgram>();
@@ -77,6 +84,16 @@
     return this.recordByTurn.has(turn);
   }
 
+  /** Returns all that is stored of a program; nothing if it is unknown. */
+  contents(program: string): ProgramContents {
+    const stored = this.programs.get(program);
+    return {
+      reservations: [...(stored?.reservations.values() ?? [])],
+      records: this.records([...(stored?.turns ?? [])]),
+      expiresAtMs: stored?.expiresAtMs ?? 0,
+    };
+  }
+
   /** Removes expired programs with their turns. */
   expire(nowMs: number): void {
     [...this.programs].forEach(([program, stored]) => {
