A stopping entry takes back relayed connections without a request

Reported by other operators: calls that came late in the grace period of a planned stop were passed on and cut with no answer. Cause here: the entry to which a connection is relayed doesn't know that the relaying one stops, accepts a late request, and the relaying entry ends before it. Idle relayed connections are now served by the stopping entry itself, which refuses what can't end in time.

relayedRequestsDuringStop.test.ts: with the relaying entry stopped, 3 of 12 calls ran and were cut before; none now. With the serving entry stopped, none before and none now.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -132,9 +132,10 @@
     this.server.keepAliveTimeout = idleTimeoutMs;
   }
 
-  /** Serves all further connections itself. */
+  /** Serves all further connections itself, and those that it relays without a request so far. */
   beginStop(): void {
     this.isStopping = true;
+    this.relay.beginStop((socket) => this.serveConnection(socket));
   }
 
   /** Number of connections that callers have opened, without those that other entries relayed. */
@@ -197,6 +198,11 @@
       if (outcome === 'relayed' || socket.destroyed) return;
       if (outcome === 'unreachable') sharing.exclude(target.id);
     }
+    this.serveConnection(socket);
+  }
+
+  /** Serves a paused connection from which nothing has been read. */
+  private serveConnection(socket: Socket): void {
     this.ownConnections.add(socket);
     this.server.emit('connection', socket);
     socket.resume();
--- a/packages/gateway/src/connectionRelay.ts
+++ b/packages/gateway/src/connectionRelay.ts
@@ -19,9 +19,8 @@
   address: PeerAddress;
 }
 
-/** What became of a connection: an entry that is unreachable or has another configuration than this one
- * leaves it unread. */
-export type RelayOutcome = 'relayed' | 'unreachable' | 'other configuration';
+/** What became of a connection: unless it is relayed, nothing has been read from it. */
+export type RelayOutcome = 'relayed' | 'unreachable' | 'other configuration' | 'stopping';
 
 /** Options of `ConnectionRelay`. */
 export interface ConnectionRelayOptions {
@@ -45,8 +44,13 @@
 export class ConnectionRelay {
   private readonly options: ConnectionRelayOptions;
 
-  /** Callers' connections that are being relayed. */
-  private readonly callers = new Set<net.Socket>();
+  /** Callers' connections that are being relayed, with functions that end this without closing them. */
+  private readonly callers = new Map<net.Socket, () => void>();
+
+  /** Callers' connections for which another entry has not accepted one yet. */
+  private readonly connecting = new Set<net.Socket>();
+
+  private isStopping = false;
 
   constructor(options: ConnectionRelayOptions) {
     this.options = options;
@@ -54,7 +58,7 @@
 
   /** Number of relayed connections on which a request has arrived. */
   get activeCount(): number {
-    return [...this.callers].filter(({ bytesRead }) => bytesRead > 0).length;
+    return [...this.callers.keys()].filter(({ bytesRead }) => bytesRead > 0).length;
   }
 
   /** Relays a paused connection. If that is not possible, nothing is read from the connection. */
@@ -63,24 +67,36 @@
     const ignoreError = () => undefined;
     // A caller that leaves meanwhile is noticed once the connection is read.
     caller.on('error', ignoreError);
-    this.callers.add(caller);
-    const { entry, outcome } = await connect(target.address, version());
+    this.connecting.add(caller);
+    const { entry, outcome: connected } = await connect(target.address, version());
+    this.connecting.delete(caller);
     caller.off('error', ignoreError);
+    const outcome = entry && this.isStopping ? 'stopping' : connected;
     metrics.count('gateway_relays_total', { outcome });
     if (outcome === 'unreachable') log.write('relayTargetUnreachable', { entry: target.id });
-    if (!entry || caller.destroyed) {
-      this.callers.delete(caller);
+    if (!entry || caller.destroyed || this.isStopping) {
       entry?.destroy();
       return outcome;
     }
     caller.on('close', () => this.callers.delete(caller));
-    joinSockets(caller, entry, longestTimeoutMs() + ANSWER_MARGIN_MS);
+    this.callers.set(caller, joinSockets(caller, entry, longestTimeoutMs() + ANSWER_MARGIN_MS));
     return outcome;
   }
 
+  /** Relays no more connections, and hands those back on which no request has arrived. */
+  beginStop(takeBack: (caller: net.Socket) => void): void {
+    this.isStopping = true;
+    this.callers.forEach((detach, caller) => {
+      if (caller.bytesRead > 0 || caller.destroyed) return;
+      this.callers.delete(caller);
+      detach();
+      takeBack(caller);
+    });
+  }
+
   /** Closes all relayed connections. */
   close(): void {
-    this.callers.forEach((caller) => caller.destroy());
+    [...this.callers.keys(), ...this.connecting].forEach((caller) => caller.destroy());
   }
 }
 
@@ -114,22 +130,26 @@
   });
 }
 
-/** Passes on everything between a caller and the entry that serves it. */
-function joinSockets(caller: net.Socket, entry: net.Socket, answerTimeoutMs: number): void {
+/**
+ * Passes on everything between a caller and the entry that serves it. The returned function leaves the
+ * caller's connection paused and open, and closes the other one.
+ */
+function joinSockets(caller: net.Socket, entry: net.Socket, answerTimeoutMs: number): () => void {
   let answerTimer: NodeJS.Timeout | undefined;
   let isAnswered = false;
-  caller.once('data', async () => {
+  const onRequest = async () => {
     answerTimer = setTimeout(() => entry.destroy(), answerTimeoutMs);
     // The request waits in the socket's buffer until a poll has shown whether the caller has left.
     entry.cork();
     await afterPoll();
     entry.uncork();
-  });
+  };
+  caller.once('data', onRequest);
   entry.once('data', () => {
     isAnswered = true;
     clearTimeout(answerTimer);
   });
-  forwardData(caller, entry);
+  const stopForwarding = forwardData(caller, entry);
   forwardData(entry, caller);
   const cancel = () => {
     clearTimeout(answerTimer);
@@ -145,16 +165,31 @@
     else caller.destroySoon();
   };
   // A reset that arrives with data is reported as an end; the connection has no peer any more then.
-  entry.on('end', () => closeCaller(entry.remoteAddress === undefined));
+  const onEntryEnd = () => closeCaller(entry.remoteAddress === undefined);
+  entry.on('end', onEntryEnd);
   entry.on('close', closeCaller);
   caller.resume();
+  return () => {
+    caller.pause();
+    stopForwarding();
+    caller.off('data', onRequest).off('end', cancel).off('close', cancel);
+    entry.off('end', onEntryEnd).off('close', closeCaller);
+    entry.destroy();
+  };
 }
 
-/** Passes on the data of one connection to another, as fast as that accepts it. */
-function forwardData(source: net.Socket, sink: net.Socket): void {
-  source.on('error', () => undefined);
-  source.on('data', (bytes) => {
+/** Passes on the data of one connection to another, as fast as that accepts it; the returned function
+ * ends this. */
+function forwardData(source: net.Socket, sink: net.Socket): () => void {
+  const ignoreError = () => undefined;
+  const onData = (bytes: Buffer) => {
     if (!sink.write(bytes)) source.pause();
-  });
-  sink.on('drain', () => source.resume());
+  };
+  const onDrain = () => source.resume();
+  source.on('error', ignoreError).on('data', onData);
+  sink.on('drain', onDrain);
+  return () => {
+    source.off('error', ignoreError).off('data', onData);
+    sink.off('drain', onDrain);
+  };
 }
