A turn lives as long as a turn that needs it

Cause: keepers removed turns with their own program, and each by its own last write. A keeper that stores a turn now holds the ancestors that it has for the program of that turn, in memory, log and copies, and names those that it lacks; the entry sends it those of other programs and those older than 5 s.

budgetLifetimes.test.ts: 3 of 4 chains can't be continued before, all can now.

--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -113,7 +113,7 @@
   private async finish(turn: OpenTurn, endpoint: Endpoint): Promise<void> {
     const { turns } = this.options;
     if (turn.request.route.storesTurns) {
-      await turns.commit(createTurnRecord(turn, endpoint)).catch(throwNotStored);
+      await turns.commit(createTurnRecord(turn, endpoint), turn.chain).catch(throwNotStored);
       return;
     }
     // The answer doesn't wait for this: until it is stored, the larger reservation counts.
--- a/packages/turns/src/__tests__/budgetLifetimes.test.ts
+++ b/packages/turns/src/__tests__/budgetLifetimes.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test, { type TestContext } from 'node:test';
 import { create } from '@bufbuild/protobuf';
-import { TurnRecordSchema } from '@marjorampin/protocol';
+import { type TurnRecord, TurnRecordSchema } from '@marjorampin/protocol';
 import { toCallError } from '@marjorampin/types';
 import type { TurnStore } from '../turnStore';
 import { ReachableKeepers } from './reachableKeepers';
@@ -150,15 +150,16 @@
     previous,
     retentionMs: RETENTION_MS,
   };
-  let ancestors: string[] = [];
+  let chain: TurnRecord[] = [];
   try {
-    ancestors = (await store.reserve(reservation)).map((record) => record.turn);
+    chain = await store.reserve(reservation);
   } catch (error) {
     assert.equal(toCallError(error).kind, 'budget-exhausted');
     return 0;
   }
+  const ancestors = chain.map((record) => record.turn);
   const fields = { program, turn, ancestors, outputTokens: TOKENS, retentionMs: RETENTION_MS };
-  await store.commit(create(TurnRecordSchema, fields));
+  await store.commit(create(TurnRecordSchema, fields), chain);
   return TOKENS;
 }
 
@@ -182,20 +183,63 @@
   });
 });
 
-// Guards against turns of a running program that a restart of all keepers forgets.
-test('LOST: a chain that is older than the retention can be continued after a restart', async (context) => {
-  const keepers = await startKeepers(context);
-  let previous: string | undefined;
-  for (const turn of ['t0', 't1', 't2', 't3']) {
-    await Promise.all(['a', 'b', 'c'].map((id) => keepers.restart(id)));
-    const granted = await runTurn(keepers.createTurnStore(), {
-      turn,
-      ...(previous && { previous }),
-    });
-    assert.equal(granted, TOKENS);
-    previous = turn;
-    await keepers.advance(50_000);
-  }
+interface ChainCase {
+  name: string;
+  /** Turns of one chain, and the keepers that are down or restarted first. */
+  turns: { atS: number; program: string; down?: string; restarted?: string }[];
+}
+
+const CHAIN_CASES: ChainCase[] = [
+  {
+    name: 'all keepers restart before each turn',
+    turns: [0, 50, 100, 150].map((atS) => ({ atS, program: 'p', restarted: 'abc' })),
+  },
+  {
+    name: 'its first turn belongs to a program that has expired',
+    turns: [
+      { atS: 0, program: 'earlier' },
+      { atS: 50, program: 'later' },
+      { atS: 92, program: 'later' },
+      { atS: 140, program: 'later' },
+    ],
+  },
+  {
+    name: 'each turn belongs to another program, and keepers restart',
+    turns: [
+      { atS: 0, program: 'p0' },
+      { atS: 55, program: 'p1', restarted: 'abc' },
+      { atS: 110, program: 'p2', restarted: 'abc' },
+      { atS: 165, program: 'p3', restarted: 'abc' },
+    ],
+  },
+  {
+    name: 'the keepers of its first turn are down one after the other',
+    turns: [
+      { atS: 0, program: 'p', down: 'c' },
+      { atS: 40, program: 'p', down: 'a' },
+      { atS: 90, program: 'p', down: 'a' },
+      { atS: 140, program: 'p', down: 'b' },
+    ],
+  },
+];
+
+// Guards against turns that expire although a turn that goes on from them can still be continued.
+CHAIN_CASES.forEach(({ name, turns }) => {
+  test(`LOST: a chain can be continued although ${name}`, async (context) => {
+    const keepers = await startKeepers(context);
+    let previous: string | undefined;
+    for (const { atS, program, down, restarted = '' } of turns) {
+      await keepers.advance(atS * 1_000 - keepers.clock.now());
+      await Promise.all([...restarted].map((id) => keepers.restart(id)));
+      ['a', 'b', 'c'].forEach((id) => keepers.reachable.add(id));
+      if (down) keepers.reachable.delete(down);
+      const turn = `t${atS}`;
+      const store = keepers.createTurnStore();
+      const granted = await runTurn(store, { turn, program, ...(previous && { previous }) });
+      assert.equal(granted, TOKENS);
+      previous = turn;
+    }
+  });
 });
 
 // Guards against a long program that keeps all segments of the log on the disk.
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -243,7 +243,11 @@
 
 function mergeReplies(request: GroupRequest, replies: Reply[]): Reply {
   if (request.case !== 'reserveTokens') {
-    return create(ReplySchema, { body: { case: 'acknowledgement', value: { accepted: true } } });
+    const missing = replies.flatMap(({ body }) =>
+      body.case === 'acknowledgement' ? body.value.missingTurns : [],
+    );
+    const value = { accepted: true, missingTurns: [...new Set(missing)] };
+    return create(ReplySchema, { body: { case: 'acknowledgement', value } });
   }
   const all = replies.flatMap(({ body }) => (body.case === 'reservations' ? [body.value] : []));
   const others = mergeOthers(all);
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -64,6 +64,9 @@
 
   private readonly options: KeeperHandlerOptions;
 
+  /** Programs that need a turn which is being copied from another keeper, by the turn. */
+  private readonly awaitingPrograms = new Map<string, Set<string>>();
+
   private readonly listeners: (() => void)[] = [];
 
   private readonly permits: PermitTable;
@@ -93,6 +96,7 @@
   markRestored(version: number): void {
     this.isIntact = true;
     this.restoredVersion = Math.max(this.restoredVersion, version);
+    this.awaitingPrograms.clear();
   }
 
   /** Whether replies are complete: all data assigned under the newest roster is stored. */
@@ -152,21 +156,44 @@
         return this.write({ case: 'reservation', value: reservation }, program, remainingMs);
       }),
     );
-    return turns.filter((turn) => !table.has(turn));
+    const needed = turns.filter((turn) => !table.holds(program, turn));
+    const known = table.records(needed);
+    await this.storeTurns(program, known, remainingMs);
+    const absent = needed.filter((turn) => !table.holds(program, turn));
+    absent.forEach((turn) => {
+      const programs = this.awaitingPrograms.get(turn) ?? new Set();
+      this.awaitingPrograms.set(turn, programs.add(program));
+    });
+    return absent;
   }
 
   /** Stores turns copied from another keeper; resolves once they are synced to disk. */
   async importTurns(records: TurnRecord[]): Promise<void> {
-    const { table, clock } = this.options;
     await Promise.all(
-      records.map((record) => {
-        const { program, retentionMs } = record;
-        table.add(record, clock.now() + retentionMs);
-        return this.write({ case: 'record', value: record }, program, retentionMs);
+      records.map(async (record) => {
+        const { turn, retentionMs } = record;
+        const programs = [...(this.awaitingPrograms.get(turn) ?? [record.program])];
+        this.awaitingPrograms.delete(turn);
+        await Promise.all(
+          programs.map((program) => this.storeTurns(program, [record], retentionMs)),
+        );
       }),
     );
   }
 
+  private async storeTurns(
+    program: string,
+    records: TurnRecord[],
+    retentionMs: number,
+  ): Promise<void> {
+    const { table, clock } = this.options;
+    const expiresAtMs = clock.now() + retentionMs;
+    records.forEach((record) => table.add(program, record, expiresAtMs));
+    await Promise.all(
+      records.map((value) => this.write({ case: 'record', value }, program, retentionMs)),
+    );
+  }
+
   /** Returns whether all data assigned under `version` and under this keeper's roster is stored. A
    * sender with a newer roster may need data that this keeper has not restored yet. */
   private isCompleteFor(version: number): boolean {
@@ -216,16 +243,18 @@
     throw new CallError({ kind: 'platform-unavailable', message, retryAfterMs: START_RETRY_MS });
   }
 
-  private async commit({ record, rosterVersion }: CommitTurn): Promise<ReplyInit> {
+  private async commit({ record, rosterVersion, ancestors }: CommitTurn): Promise<ReplyInit> {
     if (!record) throw missing('record');
     const { table, clock } = this.options;
     const { program, turn, outputTokens, retentionMs } = record;
-    const expiresAtMs = clock.now() + retentionMs;
-    table.add(record, expiresAtMs);
-    table.settle(program, turn, outputTokens, expiresAtMs);
-    await this.write({ case: 'record', value: record }, program, retentionMs);
+    table.settle(program, turn, outputTokens, clock.now() + retentionMs);
+    const lacking = record.ancestors.filter((ancestor) => !table.holds(program, ancestor));
+    const sent = new Map(ancestors.map((ancestor) => [ancestor.turn, ancestor]));
+    const added = lacking.flatMap((ancestor) => table.record(ancestor) ?? sent.get(ancestor) ?? []);
+    await this.storeTurns(program, [...added, record], retentionMs);
     const accepted = this.isCompleteFor(rosterVersion);
-    return { body: { case: 'acknowledgement', value: { accepted } } };
+    const missingTurns = lacking.filter((ancestor) => !table.holds(program, ancestor));
+    return { body: { case: 'acknowledgement', value: { accepted, missingTurns } } };
   }
 
   private async settle({ program, reservation, retentionMs }: SettleTokens): Promise<ReplyInit> {
--- a/packages/turns/src/programTable.ts
+++ b/packages/turns/src/programTable.ts
@@ -14,11 +14,18 @@
 interface StoredProgram {
   /** Merged state of each reservation, by turn id. */
   reservations: Map<string, Reservation>;
-  /** Ids of the stored turns of the program. */
-  turns: Set<string>;
+  /** The program's turns and their ancestors, which may belong to other programs, by id. */
+  turns: Map<string, TurnRecord>;
   expiresAtMs: number;
 }
 
+/** A stored turn. */
+interface StoredTurn {
+  record: TurnRecord;
+  /** Number of programs that need it. */
+  holders: number;
+}
+
 /** A page of programs, ordered by id. */
 export interface ProgramTablePage {
   programs: ProgramCopy[];
@@ -36,7 +43,7 @@
 export class ProgramTable {
   private readonly programs = new Map<string, StoredProgram>();
 
-  private readonly recordByTurn = new Map<string, TurnRecord>();
+  private readonly storedTurns = new Map<string, StoredTurn>();
 
   /** Stores a reservation and returns all others of the program. For a repeated request, these
    * include reservations copied from other keepers since the first one, even older ones. */
@@ -54,21 +61,34 @@
     this.reserve(program, reservation, expiresAtMs);
   }
 
-  /** Adds a turn. */
-  add(record: TurnRecord, expiresAtMs: number): void {
-    const stored = this.upsert(record.program, expiresAtMs);
-    stored.turns.add(record.turn);
-    this.recordByTurn.set(record.turn, record);
+  /** Adds a turn that a program needs: its own, or an ancestor of one. */
+  add(program: string, record: TurnRecord, expiresAtMs: number): void {
+    const { turns } = this.upsert(program, expiresAtMs);
+    if (turns.has(record.turn)) return;
+    const stored = this.storedTurns.get(record.turn) ?? { record, holders: 0 };
+    stored.holders += 1;
+    this.storedTurns.set(record.turn, stored);
+    turns.set(record.turn, stored.record);
+  }
+
+  /** Returns whether a turn is stored for a program. */
+  holds(program: string, turn: string): boolean {
+    return this.programs.get(program)?.turns.has(turn) ?? false;
   }
 
   /** Returns a turn and its stored ancestors, oldest first; empty if the turn is not stored. */
   chain(turn: string): TurnRecord[] {
-    return storedChain(this.recordByTurn, turn);
+    return storedChain((id) => this.record(id), turn);
+  }
+
+  /** Returns the record of a turn, if it is stored. */
+  record(turn: string): TurnRecord | undefined {
+    return this.storedTurns.get(turn)?.record;
   }
 
   /** Returns the records of those given turns that are stored. */
   records(turns: string[]): TurnRecord[] {
-    return turns.flatMap((turn) => this.recordByTurn.get(turn) ?? []);
+    return turns.flatMap((turn) => this.record(turn) ?? []);
   }
 
   /** Returns whether a reservation would change the stored state. */
@@ -79,27 +99,22 @@
     return merged.tokens !== current.tokens || merged.settled !== current.settled;
   }
 
-  /** Returns whether a turn is stored. */
-  has(turn: string): boolean {
-    return this.recordByTurn.has(turn);
-  }
-
   /** Returns all that is stored of a program; nothing if it is unknown. */
   contents(program: string): ProgramContents {
     const stored = this.programs.get(program);
     return {
       reservations: [...(stored?.reservations.values() ?? [])],
-      records: this.records([...(stored?.turns ?? [])]),
+      records: [...(stored?.turns.values() ?? [])],
       expiresAtMs: stored?.expiresAtMs ?? 0,
     };
   }
 
-  /** Removes expired programs with their turns. */
+  /** Removes expired programs, and the turns that no other program needs. */
   expire(nowMs: number): void {
     [...this.programs].forEach(([program, stored]) => {
       if (stored.expiresAtMs > nowMs) return;
       this.programs.delete(program);
-      stored.turns.forEach((turn) => this.recordByTurn.delete(turn));
+      stored.turns.forEach((_, turn) => this.release(turn));
     });
   }
 
@@ -126,7 +141,14 @@
 
   /** Number of stored programs and turns. */
   get size(): { programs: number; turns: number } {
-    return { programs: this.programs.size, turns: this.recordByTurn.size };
+    return { programs: this.programs.size, turns: this.storedTurns.size };
+  }
+
+  private release(turn: string): void {
+    const stored = this.storedTurns.get(turn);
+    if (!stored) return;
+    stored.holders -= 1;
+    if (stored.holders === 0) this.storedTurns.delete(turn);
   }
 
   private copy(program: string, nowMs: number): ProgramCopy {
@@ -134,7 +156,7 @@
     return create(ProgramCopySchema, {
       program,
       reservations: [...(stored?.reservations.values() ?? [])],
-      turns: [...(stored?.turns ?? [])],
+      turns: [...(stored?.turns.keys() ?? [])],
       remainingMs: Math.max(0, (stored?.expiresAtMs ?? nowMs) - nowMs),
     });
   }
@@ -142,7 +164,7 @@
   private upsert(program: string, expiresAtMs: number): StoredProgram {
     const stored = this.programs.get(program) ?? {
       reservations: new Map(),
-      turns: new Set(),
+      turns: new Map(),
       expiresAtMs,
     };
     stored.expiresAtMs = Math.max(stored.expiresAtMs, expiresAtMs);
--- a/packages/turns/src/replayEvents.ts
+++ b/packages/turns/src/replayEvents.ts
@@ -28,6 +28,6 @@
   if (body.case === 'reservation') table.reserve(program, body.value, expiresAtMs);
   if (body.case !== 'record') return;
   const { turn, outputTokens } = body.value;
-  table.add(body.value, expiresAtMs);
-  table.settle(program, turn, outputTokens, expiresAtMs);
+  table.add(program, body.value, expiresAtMs);
+  if (body.value.program === program) table.settle(program, turn, outputTokens, expiresAtMs);
 }
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -11,6 +11,10 @@
 const MAXIMUM_SETTLE_ATTEMPTS = 6;
 const SETTLE_RETRY_DELAY_MS = 250;
 
+/** Age above which an ancestor of a new turn is stored again at keepers that lack it; well below the
+ * margin by which turns are retained longer than promised. */
+const RENEWAL_AGE_MS = 5_000;
+
 /** Tokens that a turn reserves before it runs. */
 export interface TurnReservation {
   program: string;
@@ -99,10 +103,23 @@
     }
   }
 
-  /** Writes a completed turn; resolves once a majority of its keepers has synced it to disk. */
-  async commit(record: TurnRecord): Promise<void> {
-    await this.group.send(record.program, { case: 'commitTurn', value: { record } });
+  /**
+   * Writes a completed turn; resolves once a majority of its keepers has synced it to disk. `chain` are
+   * the turns that it continues; keepers that lack old ones, or those of other programs, get
+   * them, as they would otherwise expire before the turn.
+   */
+  async commit(completed: TurnRecord, chain: TurnRecord[] = []): Promise<void> {
+    const { program } = completed;
+    const committedAtMs = this.options.clock.wallTime();
+    const record: TurnRecord = { ...completed, committedAtMs };
+    const { body } = await this.group.send(program, { case: 'commitTurn', value: { record } });
     this.cache.add(record);
+    const missing = new Set(body.case === 'acknowledgement' ? body.value.missingTurns : []);
+    const ancestors = chain.filter(({ turn }) => missing.has(turn));
+    const isLasting = (ancestor: TurnRecord) =>
+      ancestor.program === program && committedAtMs - ancestor.committedAtMs < RENEWAL_AGE_MS;
+    if (ancestors.every(isLasting)) return;
+    await this.group.send(program, { case: 'commitTurn', value: { record, ancestors } });
   }
 
   /** Replaces a turn's reservation with the tokens it used; if all attempts fail, it stays. */
