Only programs that outlive their first events are written to the log again

A program that ends soon stays in memory for a retention, and was due for a rewrite in that time: each one was written twice. Now a program is written again if it lives on for more than 10 s after its first event expires, which the margin of the retention covers.

budgetLifetimes.test.ts, a program that has ended: fails before, passes now with the other 15 cases.

--- a/packages/turns/src/__tests__/budgetLifetimes.test.ts
+++ b/packages/turns/src/__tests__/budgetLifetimes.test.ts
@@ -257,6 +257,18 @@
   assert.ok((await keepers.segmentCount('a')) <= 1);
 });
 
+// Guards against a log in which each program is written twice.
+test('a program that has ended is written again', async (context) => {
+  const keepers = await startKeepers(context);
+  const store = keepers.createTurnStore();
+  for (let turn = 0; turn < 5; turn += 1) {
+    await runTurn(store, { turn: `t${turn}`, program: `p${turn}` });
+  }
+  const written = await keepers.segmentCount('a');
+  await keepers.advance(RETENTION_MS - 5_000);
+  assert.equal(await keepers.segmentCount('a'), written);
+});
+
 // Guards against the loss of a running program whose rewrite failed, and against a disk that stays full.
 test('segments of programs that could not be rewritten are deleted', async (context) => {
   const keepers = await startKeepers(context);
--- a/packages/turns/src/compactLog.ts
+++ b/packages/turns/src/compactLog.ts
@@ -4,6 +4,10 @@
 import type { DurableLog } from './durableLog';
 import type { ProgramTable } from './programTable';
 
+/** Time by which a program has to outlive its first event to be rewritten; well below the margin by
+ * which programs are retained longer than promised. */
+const MINIMUM_EXCESS_MS = 10_000;
+
 /** Options of `compactLog`. */
 export interface CompactLogOptions {
   table: ProgramTable;
@@ -18,21 +22,28 @@
  */
 export async function compactLog({ table, durableLog, clock }: CompactLogOptions): Promise<void> {
   table.expire(clock.now());
-  const programs = durableLog.programsToRewrite(clock.wallTime());
+  const wallTimeMs = clock.wallTime();
+  const programs = durableLog
+    .expiringPrograms(wallTimeMs)
+    .filter(({ program, expiresAtMs }) => {
+      const remainingMs = table.remainingMs(program, clock.now());
+      return remainingMs === 0 || remainingMs - (expiresAtMs - wallTimeMs) > MINIMUM_EXCESS_MS;
+    })
+    .map(({ program }) => program);
   const results = await Promise.allSettled(
     programs.map((program) => durableLog.rewrite(program, eventsOf(table, program, clock))),
   );
   const isFailed = (index: number) => results[index]?.status === 'rejected';
   const failed = new Set(programs.filter((_, index) => isFailed(index)));
-  await durableLog.dropExpired(clock.wallTime(), failed);
+  await durableLog.dropExpired(wallTimeMs, failed);
   const rejected = results.find((result) => result.status === 'rejected');
   if (rejected) throw rejected.reason;
 }
 
 /** Returns the events that restore a program; none if it has expired. */
 function eventsOf(table: ProgramTable, program: string, clock: Clock): KeptEvent[] {
-  const { reservations, records, expiresAtMs } = table.contents(program);
-  const retentionMs = expiresAtMs - clock.now();
+  const { reservations, records } = table.contents(program);
+  const retentionMs = table.remainingMs(program, clock.now());
   const writtenAtMs = clock.wallTime();
   const bodies: KeptEvent['body'][] = [
     ...records.map((value) => ({ case: 'record' as const, value })),
--- a/packages/turns/src/durableLog.ts
+++ b/packages/turns/src/durableLog.ts
@@ -25,9 +25,12 @@
   expiresAtMs: number;
 }
 
-/** Share of the retention after which a program's events are due to be rewritten; leaves time to
- * repeat a failed rewrite before their segments expire. */
-const REWRITE_SHARE = 0.5;
+/** Share of the retention after which an event is about to expire; leaves time to repeat a failed
+ * rewrite before its segment is deleted. */
+const EXPIRING_SHARE = 0.8;
+
+/** Wall time at which an event was written, and the time from then until it expires. */
+type EventTimes = Pick<KeptEvent, 'writtenAtMs' | 'retentionMs'>;
 
 interface PendingAppend {
   event: KeptEvent;
@@ -52,8 +55,8 @@
 
   private pending: PendingAppend[] = [];
 
-  /** Wall time at which the oldest event of each program is due to be rewritten. */
-  private readonly rewriteAtMs = new Map<string, number>();
+  /** Times of the event that expires first, by program. */
+  private readonly oldestEvents = new Map<string, EventTimes>();
 
   private isWriting = false;
 
@@ -71,7 +74,7 @@
       const read = this.readSegment(name, await readFile(join(folder, name)));
       const expiresAtMs = read.reduce((latest, event) => Math.max(latest, expiryOf(event)), 0);
       this.segments.push({ name, expiresAtMs });
-      read.forEach((event) => this.scheduleRewrite(event));
+      read.forEach((event) => this.recordOldest(event));
       events.push(...read);
       this.nextSegmentNumber = Number(SEGMENT_NAME.exec(name)?.[1]) + 1;
     }
@@ -80,26 +83,31 @@
 
   /** Appends an event; resolves once it is synced to disk. */
   append(event: KeptEvent): Promise<void> {
-    this.scheduleRewrite(event);
+    this.recordOldest(event);
     return new Promise((resolve, reject) => {
       this.pending.push({ event, resolve, reject });
       if (!this.isWriting) this.flush();
     });
   }
 
-  /** Returns the programs whose oldest event is due to be rewritten. */
-  programsToRewrite(wallTimeMs: number): string[] {
-    return [...this.rewriteAtMs].filter(([, dueMs]) => dueMs <= wallTimeMs).map(([id]) => id);
+  /** Returns the programs with an event that is about to expire, and the wall time at which it does. */
+  expiringPrograms(wallTimeMs: number): { program: string; expiresAtMs: number }[] {
+    return [...this.oldestEvents]
+      .filter(
+        ([, { writtenAtMs, retentionMs }]) =>
+          writtenAtMs + retentionMs * EXPIRING_SHARE <= wallTimeMs,
+      )
+      .map(([program, oldest]) => ({ program, expiresAtMs: expiryOf(oldest) }));
   }
 
   /** Replaces all earlier events of a program; without events, the program is forgotten. */
   async rewrite(program: string, events: KeptEvent[]): Promise<void> {
-    const dueMs = this.rewriteAtMs.get(program);
-    this.rewriteAtMs.delete(program);
+    const oldest = this.oldestEvents.get(program);
+    this.oldestEvents.delete(program);
     try {
       await Promise.all(events.map((event) => this.append(event)));
     } catch (error) {
-      if (dueMs !== undefined) this.rewriteAtMs.set(program, dueMs);
+      if (oldest) this.oldestEvents.set(program, oldest);
       throw error;
     }
   }
@@ -130,10 +138,10 @@
     this.file = undefined;
   }
 
-  private scheduleRewrite({ program, writtenAtMs, retentionMs }: KeptEvent): void {
-    const dueMs = writtenAtMs + retentionMs * REWRITE_SHARE;
-    const earliestMs = Math.min(dueMs, this.rewriteAtMs.get(program) ?? Infinity);
-    this.rewriteAtMs.set(program, earliestMs);
+  private recordOldest({ program, writtenAtMs, retentionMs }: KeptEvent): void {
+    const times = { writtenAtMs, retentionMs };
+    const oldest = this.oldestEvents.get(program);
+    if (!oldest || expiryOf(times) < expiryOf(oldest)) this.oldestEvents.set(program, times);
   }
 
   private async flush(): Promise<void> {
@@ -205,7 +213,7 @@
   }
 }
 
-function expiryOf({ writtenAtMs, retentionMs }: KeptEvent): number {
+function expiryOf({ writtenAtMs, retentionMs }: EventTimes): number {
   return writtenAtMs + retentionMs;
 }
 
--- a/packages/turns/src/programTable.ts
+++ b/packages/turns/src/programTable.ts
@@ -36,7 +36,6 @@
 export interface ProgramContents {
   reservations: Reservation[];
   records: TurnRecord[];
-  expiresAtMs: number;
 }
 
 /** In-memory reservations and turns of a keeper by program, removed when they expire. */
@@ -105,10 +104,14 @@
     return {
       reservations: [...(stored?.reservations.values() ?? [])],
       records: [...(stored?.turns.values() ?? [])],
-      expiresAtMs: stored?.expiresAtMs ?? 0,
     };
   }
 
+  /** Returns the milliseconds until a program expires; 0 if it is unknown. */
+  remainingMs(program: string, nowMs: number): number {
+    return Math.max(0, (this.programs.get(program)?.expiresAtMs ?? nowMs) - nowMs);
+  }
+
   /** Removes expired programs, and the turns that no other program needs. */
   expire(nowMs: number): void {
     [...this.programs].forEach(([program, stored]) => {
@@ -157,7 +160,7 @@
       program,
       reservations: [...(stored?.reservations.values() ?? [])],
       turns: [...(stored?.turns.keys() ?? [])],
-      remainingMs: Math.max(0, (stored?.expiresAtMs ?? nowMs) - nowMs),
+      remainingMs: this.remainingMs(program, nowMs),
     });
   }
 
