Young programs take no second round of reservations

A program that is younger than 10 s needs none, as its first reservations are retained for 10 s longer than the rest of a program. Keepers reply with the time since their first reservation of it, unknown after a restart.

budgetLifetimes.test.ts: the new case fails before, all 17 pass now.

--- a/packages/turns/src/__tests__/budgetLifetimes.test.ts
+++ b/packages/turns/src/__tests__/budgetLifetimes.test.ts
@@ -257,6 +257,24 @@
   assert.ok((await keepers.segmentCount('a')) <= 1);
 });
 
+// Guards against a second round for each turn under load, when entries call other keepers each time.
+test('a young program takes a second round if its keepers differ', async (context) => {
+  const keepers = await startKeepers(context);
+  const store = keepers.createTurnStore();
+  const runWithout = async (turn: string, down: string) => {
+    ['a', 'b', 'c'].forEach((id) => keepers.reachable.add(id));
+    keepers.reachable.delete(down);
+    await runTurn(store, { turn });
+  };
+  await runWithout('t0', 'c');
+  await keepers.advance(5_000);
+  await runWithout('t1', 'a');
+  assert.equal(keepers.addedReservations('c'), 0);
+  await keepers.advance(10_000);
+  await runWithout('t2', 'b');
+  assert.ok(keepers.addedReservations('c') > 0);
+});
+
 // Guards against a log in which each program is written twice.
 test('a program that has ended is written again', async (context) => {
   const keepers = await startKeepers(context);
--- a/packages/turns/src/__tests__/reachableKeepers.ts
+++ b/packages/turns/src/__tests__/reachableKeepers.ts
@@ -107,6 +107,11 @@
     return (await readdir(this.keeper(id).folder)).length;
   }
 
+  /** Returns the number of reservations that a keeper got from entries after other keepers. */
+  addedReservations(id: string): number {
+    return this.keeper(id).handler.addedReservations;
+  }
+
   /** Makes all further writes to a keeper's disk fail. */
   failDisk(id: string): void {
     this.keeper(id).durableLog.append = () => Promise.reject(new Error('the disk is full'));
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -254,7 +254,8 @@
   const chain = all.flatMap((reply) => reply.chain);
   // Each reply lists a turn at most once.
   const complete = all.every((reply) => reply.others.length === others.length);
-  const value = { others, chain, complete };
+  const programAgeMs = Math.max(...all.map((reply) => reply.programAgeMs));
+  const value = { others, chain, complete, programAgeMs };
   return create(ReplySchema, { body: { case: 'reservations', value } });
 }
 
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -156,6 +156,7 @@
         return this.write({ case: 'reservation', value: reservation }, program, remainingMs);
       }),
     );
+    table.recordStart(program, -Infinity);
     const needed = turns.filter((turn) => !table.holds(program, turn));
     const known = table.records(needed);
     await this.storeTurns(program, known, remainingMs);
@@ -226,13 +227,14 @@
     // Updates memory before the disk, so that the next reservation sees these.
     lacking.forEach((each) => table.reserve(program, each, expiresAtMs));
     const others = table.reserve(program, reservation, expiresAtMs);
+    const programAgeMs = clock.now() - table.recordStart(program, clock.now());
     const written = [...lacking, reservation];
     await Promise.all(
       written.map((value) => this.write({ case: 'reservation', value }, program, retentionMs)),
     );
     const chain = wantsChain && previous !== '' ? table.chain(previous) : [];
     const complete = this.isCompleteFor(rosterVersion);
-    const value = { others, chain, complete };
+    const value = { others, chain, complete, programAgeMs };
     return { body: { case: 'reservations', value } };
   }
 
--- a/packages/turns/src/programTable.ts
+++ b/packages/turns/src/programTable.ts
@@ -17,6 +17,8 @@
   /** The program's turns and their ancestors, which may belong to other programs, by id. */
   turns: Map<string, TurnRecord>;
   expiresAtMs: number;
+  /** Time of the first reservation here; undefined before it. */
+  startedAtMs: number | undefined;
 }
 
 /** A stored turn. */
@@ -112,6 +114,14 @@
     return Math.max(0, (this.programs.get(program)?.expiresAtMs ?? nowMs) - nowMs);
   }
 
+  /** Records that a program has run since a time, and returns the earliest such time. */
+  recordStart(program: string, startedAtMs: number): number {
+    const stored = this.programs.get(program);
+    const earliestMs = Math.min(startedAtMs, stored?.startedAtMs ?? Infinity);
+    if (stored) stored.startedAtMs = earliestMs;
+    return earliestMs;
+  }
+
   /** Removes expired programs, and the turns that no other program needs. */
   expire(nowMs: number): void {
     [...this.programs].forEach(([program, stored]) => {
@@ -169,6 +179,7 @@
       reservations: new Map(),
       turns: new Map(),
       expiresAtMs,
+      startedAtMs: undefined,
     };
     stored.expiresAtMs = Math.max(stored.expiresAtMs, expiresAtMs);
     this.programs.set(program, stored);
--- a/packages/turns/src/replayEvents.ts
+++ b/packages/turns/src/replayEvents.ts
@@ -15,7 +15,10 @@
   });
   events.forEach((event) => {
     const leftMs = remainingMs.get(event.program) ?? 0;
-    if (leftMs > 0) applyEvent(table, event, clock.now() + leftMs);
+    if (leftMs <= 0) return;
+    applyEvent(table, event, clock.now() + leftMs);
+    // The first events may have been rewritten since.
+    table.recordStart(event.program, -Infinity);
   });
 }
 
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -11,9 +11,10 @@
 const MAXIMUM_SETTLE_ATTEMPTS = 6;
 const SETTLE_RETRY_DELAY_MS = 250;
 
-/** Age above which an ancestor of a new turn is stored again at keepers that lack it; well below the
- * margin by which turns are retained longer than promised. */
-const RENEWAL_AGE_MS = 5_000;
+/** Age above which an ancestor of a new turn is stored again at keepers that lack it, and the age of a
+ * program above which its reservations are; half of the margin by which both are retained longer than
+ * promised. */
+const RENEWAL_AGE_MS = 10_000;
 
 /** Tokens that a turn reserves before it runs. */
 export interface TurnReservation {
@@ -152,7 +153,8 @@
     const isExhausted = settledTokens + request.tokens > request.budget;
     if (isExhausted) this.exhausted.record(request.program, settledTokens);
     // Also for a turn that is refused: its keepers retain what they know of the program for longer.
-    const repeated = first.complete
+    const isLasting = first.complete || first.programAgeMs <= RENEWAL_AGE_MS;
+    const repeated = isLasting
       ? undefined
       : await this.reserveTokens(request, { known: first.others });
     if (isExhausted) throw exhausted(request, settledTokens);
