One margin of the retention, one collection of crash observations

Read as a newcomer: the margin by which data is retained and half of it stood as numbers in three modules, and the evidence of a digest was collected in two ways.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -304,7 +304,7 @@
     if (!table) throw notConfigured();
     if (Math.random() < this.lag.shedShare) {
       // Closing the connection makes the caller reconnect, possibly to another entry.
-      response.shouldKeepAlive = false;
+      closeAfter(response);
       throw entryLagging(this.lag.ms);
     }
     const { limits } = table.configuration;
@@ -421,7 +421,7 @@
     }
     const body = Buffer.from(`${error.message}\n`);
     // The unread rest of the body would be parsed as the next request.
-    if (!message.complete) response.shouldKeepAlive = false;
+    if (!message.complete) closeAfter(response);
     const headers = this.options.headerCodec.writeError(error, requestId);
     response.writeHead(error.status, [
       ...headers,
--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { type TurnRecord, TurnRecordSchema } from '@marjorampin/protocol';
 import { pickService, type RoutedService } from '@marjorampin/routing';
-import type { TurnReservation, TurnStore } from '@marjorampin/turns';
+import { RETENTION_MARGIN_MS, type TurnReservation, type TurnStore } from '@marjorampin/turns';
 import { CallError, type Endpoint, toCallError } from '@marjorampin/types';
 import { relayAnswer, relayStream } from './answerRelay';
 import type { CallerRequest } from './callerRequest';
@@ -10,10 +10,6 @@
 import type { EndpointAnswer } from './endpointExchange';
 import { EventReader } from './eventReader';
 
-/** Added to the promised retention of turns and the time of a turn, to cover clock jumps and the time of
- * a restart. */
-const RETENTION_MARGIN_MS = 20_000;
-
 /** Number of trailing hexadecimal digits of a session id that select its destination; they give a
  * finer resolution than any weight needs. */
 const SESSION_DIGITS = 6;
--- a/packages/quarantine/src/incidents.ts
+++ b/packages/quarantine/src/incidents.ts
@@ -1,5 +1,5 @@
 import type { RecordedCrash, Suspect } from './quarantineRecord';
-import { digestsOf, isOf } from './suspect';
+import { digestsOf } from './suspect';
 
 /** Crashes that are noticed later than this after each other are independent even if the process that
  * sent the second call did not know of the first one. */
@@ -18,33 +18,31 @@
  * that one of them caused the next.
  */
 export function incidentsOf(crashes: RecordedCrash[], digest: string): RecordedCrash[][] {
-  const observations = crashes.flatMap((crash) =>
-    crash.suspects
-      .filter((suspect) => isOf(suspect, digest))
-      .slice(0, 1)
-      .map((suspect) => ({ crash, prior: priorOf(suspect, digest) })),
-  );
+  const observations = observe(crashes).get(digest) ?? [];
   return groupObservations(observations).map((group) => group.map(({ crash }) => crash));
 }
 
 /** Returns the number of incidents of each input and target, by digest. */
 export function countIncidents(crashes: RecordedCrash[]): Map<string, number> {
+  return new Map(
+    [...observe(crashes)].map(([digest, known]) => [digest, groupObservations(known).length]),
+  );
+}
+
+/** Returns one observation of each input and target for each crash that it was in, by digest. */
+function observe(crashes: RecordedCrash[]): Map<string, Observation[]> {
   const observations = new Map<string, Observation[]>();
-  crashes.forEach((crash) => {
-    const seen = new Set<string>();
+  crashes.forEach((crash) =>
     crash.suspects.forEach((suspect) =>
       digestsOf(suspect).forEach((digest) => {
-        if (seen.has(digest)) return;
-        seen.add(digest);
         const known = observations.get(digest) ?? [];
+        if (known.at(-1)?.crash === crash) return;
         known.push({ crash, prior: priorOf(suspect, digest) });
         observations.set(digest, known);
       }),
-    );
-  });
-  return new Map(
-    [...observations].map(([digest, known]) => [digest, groupObservations(known).length]),
+    ),
   );
+  return observations;
 }
 
 function groupObservations(observations: Observation[]): Observation[][] {
--- a/packages/turns/src/compactLog.ts
+++ b/packages/turns/src/compactLog.ts
@@ -3,10 +3,7 @@
 import type { Clock } from '@marjorampin/types';
 import type { DurableLog } from './durableLog';
 import type { ProgramTable } from './programTable';
-
-/** Time by which a program has to outlive its first event to be rewritten; well below the margin by
- * which programs are retained longer than promised. */
-const MINIMUM_EXCESS_MS = 10_000;
+import { RENEWAL_AGE_MS } from './retention';
 
 /** Options of `compactLog`. */
 export interface CompactLogOptions {
@@ -27,7 +24,7 @@
     .expiringPrograms(wallTimeMs)
     .filter(({ program, expiresAtMs }) => {
       const remainingMs = table.remainingMs(program, clock.now());
-      return remainingMs === 0 || remainingMs - (expiresAtMs - wallTimeMs) > MINIMUM_EXCESS_MS;
+      return remainingMs === 0 || remainingMs - (expiresAtMs - wallTimeMs) > RENEWAL_AGE_MS;
     })
     .map(({ program }) => program);
   const results = await Promise.allSettled(
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -8,6 +8,7 @@
 export * from './permitClient';
 export * from './programTable';
 export * from './restoration';
+export * from './retention';
 export * from './relayedStore';
 export * from './rosterMaintainer';
 export * from './rosterRecord';
--- /dev/null
+++ b/packages/turns/src/retention.ts
@@ -0,0 +1,7 @@
+/** Added to the time for which a route promises to retain turns, and to the time of a turn: covers steps
+ * of clocks and the time of a restart. */
+export const RETENTION_MARGIN_MS = 20_000;
+
+/** Age up to which data needs no renewal while its program goes on: it is retained from its first write
+ * for the margin longer than promised, and the rest of the margin still covers clocks and restarts. */
+export const RENEWAL_AGE_MS = RETENTION_MARGIN_MS / 2;
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -3,6 +3,7 @@
 import { ExhaustedBudgets } from './exhaustedBudgets';
 import { GroupClient, type GroupClientOptions, type GroupRequest } from './groupClient';
 import { keepersUnavailable } from './keepersUnavailable';
+import { RENEWAL_AGE_MS } from './retention';
 import { TurnCache } from './turnCache';
 import { completeChain } from './turnChain';
 import { indexByTurn, TurnReader } from './turnReader';
@@ -11,11 +12,6 @@
 const MAXIMUM_SETTLE_ATTEMPTS = 6;
 const SETTLE_RETRY_DELAY_MS = 250;
 
-/** Age above which an ancestor of a new turn is stored again at keepers that lack it, and the age of a
- * program above which its reservations are; half of the margin by which both are retained longer than
- * promised. */
-const RENEWAL_AGE_MS = 10_000;
-
 /** Tokens that a turn reserves before it runs. */
 export interface TurnReservation {
   program: string;
@@ -117,9 +113,9 @@
     this.cache.add(record);
     const missing = new Set(body.case === 'acknowledgement' ? body.value.missingTurns : []);
     const ancestors = chain.filter(({ turn }) => missing.has(turn));
-    const isLasting = (ancestor: TurnRecord) =>
-      ancestor.program === program && committedAtMs - ancestor.committedAtMs < RENEWAL_AGE_MS;
-    if (ancestors.every(isLasting)) return;
+    const needsRenewal = (ancestor: TurnRecord) =>
+      ancestor.program !== program || committedAtMs - ancestor.committedAtMs > RENEWAL_AGE_MS;
+    if (!ancestors.some(needsRenewal)) return;
     await this.group.send(program, { case: 'commitTurn', value: { record, ancestors } });
   }
 
@@ -153,10 +149,10 @@
     const isExhausted = settledTokens + request.tokens > request.budget;
     if (isExhausted) this.exhausted.record(request.program, settledTokens);
     // Also for a turn that is refused: its keepers retain what they know of the program for longer.
-    const isLasting = first.complete || first.programAgeMs <= RENEWAL_AGE_MS;
-    const repeated = isLasting
-      ? undefined
-      : await this.reserveTokens(request, { known: first.others });
+    const needsRenewal = !first.complete && first.programAgeMs > RENEWAL_AGE_MS;
+    const repeated = needsRenewal
+      ? await this.reserveTokens(request, { known: first.others })
+      : undefined;
     if (isExhausted) throw exhausted(request, settledTokens);
     // Concurrent turns may each reserve, at different majorities, before the other's reservation is
     // written. Each therefore sends its request again; the last to do so sees all reservations. If
