Log what a keeper counted and which keepers proved a turn unknown

Event 717 names the roster, the quorum and the keepers that replied, by whether their replies were complete; events 706 and 718 name the keepers that were copied from and those that were not, the number needed, losses and departures.

--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -242,6 +242,19 @@
     message: 'the stored roster is invalid; it will be written again',
     remedy: 'Find out who wrote it; the roster that was read before stays in effect.',
   },
+  turnUnknown: {
+    number: 717,
+    level: 'info',
+    message: 'a turn is answered as unknown, as enough keepers replied that they do not store it',
+    remedy:
+      'None needed for a turn that ended long ago; otherwise compare `complete` with the events 706 and 718 of these keepers.',
+  },
+  restorationIncomplete: {
+    number: 718,
+    level: 'warn',
+    message: 'this keeper lacks copies from other keepers and does not count as complete',
+    remedy: 'Start the keepers named in `unread`; the restoration is retried until then.',
+  },
   configurationChanged: {
     number: 800,
     level: 'info',
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import type { EventLog } from '@marjorampin/logging';
+import type { EventFields, EventLog } from '@marjorampin/logging';
 import { loadHash } from '@marjorampin/membership';
 import type { Metrics } from '@marjorampin/metrics';
 import {
@@ -17,7 +17,7 @@
 import { type KeeperState, readKeeperState, writeKeeperState } from './keeperState';
 import { ProgramTable } from './programTable';
 import { replayEvents } from './replayEvents';
-import { countDepartures, restoreFromPeers } from './restoration';
+import { countDepartures, restoreFromPeers, type RestorationResult } from './restoration';
 import { type RetirementOrders, RosterMaintainer } from './rosterMaintainer';
 import { RelayedStore } from './relayedStore';
 import { ALL_KEYS, SharedList, type ValueReadTimes } from './sharedList';
@@ -79,6 +79,9 @@
 
   private isRestoring = false;
 
+  /** Counts of the last restoration that was logged as incomplete. */
+  private loggedCounts = '';
+
   private isStopped = false;
 
   constructor(options: KeeperProcessOptions) {
@@ -199,21 +202,33 @@
       const losses = departures + (this.hasLostDisk ? 1 : 0);
       const importProgram = handler.importProgram.bind(handler);
       const importTurns = handler.importTurns.bind(handler);
-      const options = { roster, self: id, lossLimit, losses, peers, importProgram, importTurns };
-      if (await restoreFromPeers(options)) {
+      let result: RestorationResult | undefined;
+      const onResult = (counted: RestorationResult) => {
+        result = counted;
+      };
+      const copies = { roster, self: id, lossLimit, losses, peers, importProgram, importTurns };
+      const isRestored = await restoreFromPeers({ ...copies, onResult });
+      const counts = { rosterVersion: roster.version, departures, losses, ...result };
+      if (isRestored) {
         await this.saveRestored(roster);
         handler.markRestored(roster.version);
-        log.write('keeperRestored', {
-          rosterVersion: roster.version,
-          turns: this.table.size.turns,
-        });
+        log.write('keeperRestored', { turns: this.table.size.turns, ...counts });
       } else {
+        this.logIncomplete(counts);
         await clock.sleep(RESTORATION_RETRY_DELAY_MS);
       }
     }
     this.isRestoring = false;
   }
 
+  /** Logs what an incomplete restoration counted, once until it changes. */
+  private logIncomplete(counts: EventFields): void {
+    const text = JSON.stringify(counts);
+    if (text === this.loggedCounts) return;
+    this.loggedCounts = text;
+    this.options.log.write('restorationIncomplete', counts);
+  }
+
   /** Returns whether the roster lists another disk of this keeper; if so, sets `hasLostDisk`. */
   private detectLostDisk({ keepers }: Roster): boolean {
     const listed = keepers.find(({ id }) => id === this.options.id);
--- a/packages/turns/src/restoration.ts
+++ b/packages/turns/src/restoration.ts
@@ -15,6 +15,16 @@
 /** Turns per request: at a few kilobytes each, well below the size limit of a message. */
 const TURNS_PER_COPY = 100;
 
+/** What a restoration copied. */
+export interface RestorationResult {
+  /** Ids of the intact keepers that were copied from, up to now, separated by spaces. */
+  copied: string;
+  /** Ids of the other keepers. */
+  unread: string;
+  /** Number of keepers that must be copied from. */
+  needed: number;
+}
+
 /** Options of `restoreFromPeers`. */
 export interface RestorationOptions {
   roster: Roster;
@@ -30,6 +40,8 @@
   importProgram(copy: ProgramCopy): Promise<string[]>;
   /** Stores turns copied from another keeper. */
   importTurns(records: TurnRecord[]): Promise<void>;
+  /** Receives what was counted, before the restoration resolves. */
+  onResult?(result: RestorationResult): void;
 }
 
 /** Returns how many intact keepers must be copied from to rule out missing data. */
@@ -52,20 +64,28 @@
 
 /** Copies assigned data from all other keepers; resolves to true if no data can be missing. */
 export async function restoreFromPeers(options: RestorationOptions): Promise<boolean> {
-  const { roster, self } = options;
+  const { roster, self, onResult = () => undefined } = options;
   const others = roster.keepers.filter(({ id }) => id !== self);
   const needed = sourcesNeeded(options);
-  let intact = 0;
+  const copied: string[] = [];
   let finished = 0;
   return new Promise((resolve) => {
-    if (needed === 0) resolve(true);
+    let isResolved = false;
+    const finish = (isComplete: boolean) => {
+      if (isResolved) return;
+      isResolved = true;
+      const unread = others.map(({ id }) => id).filter((id) => !copied.includes(id));
+      onResult({ copied: copied.join(' '), unread: unread.join(' '), needed });
+      resolve(isComplete);
+    };
+    if (needed === 0) finish(true);
     others.forEach(async (other) => {
       // A keeper that can't be copied from counts as one of the tolerated losses.
       const isIntact = await copyFrom(other, options).catch(() => false);
       finished += 1;
-      intact += isIntact ? 1 : 0;
-      if (intact >= needed) resolve(true);
-      else if (others.length - finished + intact < needed) resolve(false);
+      if (isIntact) copied.push(other.id);
+      if (copied.length >= needed) finish(true);
+      else if (others.length - finished + copied.length < needed) finish(false);
     });
   });
 }
--- a/packages/turns/src/turnReader.ts
+++ b/packages/turns/src/turnReader.ts
@@ -1,3 +1,4 @@
+import type { EventLog } from '@marjorampin/logging';
 import type {
   PeerConnection,
   PeerConnections,
@@ -16,6 +17,7 @@
   peers: PeerConnections;
   /** Number of keepers whose disks may be lost at once. */
   lossLimit: number;
+  log: EventLog;
   /** Receives a newer roster that a keeper replied with. */
   adopt(roster: Roster): void;
 }
@@ -35,24 +37,34 @@
    */
   async read(roster: Roster, turn: string, known: TurnRecord[]): Promise<TurnRecord[]> {
     const found = indexByTurn(known);
-    let absences = 0;
-    const reads = roster.keepers.map(async ({ address }) => {
+    /** Keepers that do not store the turn, by whether their reply is complete. */
+    const absent = { complete: [] as string[], incomplete: [] as string[] };
+    const reads = roster.keepers.map(async ({ id, address }) => {
       const { records, complete } = await this.requestChain(address, roster.version, turn);
       records.forEach((record) => found.set(record.turn, record));
       const chain = completeChain(found, turn);
       if (chain) return chain;
-      if (complete && records.length === 0) absences += 1;
+      if (records.length === 0) absent[complete ? 'complete' : 'incomplete'].push(id);
       throw keepersUnavailable(`keeper at ${address} does not store turn ${turn}`);
     });
     try {
       return await Promise.any(reads);
     } catch {
       if (found.has(turn)) return this.readMissingAncestors(roster, turn, found);
-      if (absences < absenceQuorum(roster, this.options.lossLimit)) {
+      const needed = absenceQuorum(roster, this.options.lossLimit);
+      if (absent.complete.length < needed) {
         throw keepersUnavailable(
-          `only ${absences} keepers replied that they do not store turn ${turn}`,
+          `only ${absent.complete.length} keepers replied that they do not store turn ${turn}`,
         );
       }
+      this.options.log.write('turnUnknown', {
+        turn,
+        rosterVersion: roster.version,
+        keepers: roster.keepers.length,
+        needed,
+        complete: absent.complete.join(' '),
+        incomplete: absent.incomplete.join(' '),
+      });
       const message = `turn ${turn} does not exist; start a new chain with a turn that continues none`;
       throw new CallError({ kind: 'unknown-turn', message });
     }
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -47,9 +47,10 @@
 
   constructor(options: TurnStoreOptions) {
     this.options = options;
-    const { lossLimit, peers } = options;
+    const { lossLimit, peers, log } = options;
     this.group = new GroupClient(options);
-    this.reader = new TurnReader({ peers, lossLimit, adopt: (roster) => this.adopt(roster) });
+    const adopt = (roster: Roster) => this.adopt(roster);
+    this.reader = new TurnReader({ peers, lossLimit, log, adopt });
     this.cache = new TurnCache(options.cacheBytes ?? DEFAULT_CACHE_BYTES);
     this.exhausted = new ExhaustedBudgets({ clock: options.clock });
   }
