A peer that is back is reached again while calls to it go on

Cause: calls made while a client waits between two attempts to connect are queued on a stream that does not exist yet. A call without a reply for its progress timeout (900 ms for keepers) closed this stream as silent, and the attempt that followed the wait failed at once on the closed stream, which doubled the wait again. With a wait of 1 to 2 s and steady calls, a client connected only if no call had been queued early in the wait.

Evidence: log of the client in interruptedCommit.test.ts; a keeper that was back after 2.5 s was not reached for 5.5 s more, each attempt ending with "the peer sent nothing during a call" before it connected.

Fix: a stream can be silent only once the client opens it. Queued calls still fail at their own timeout, and a call counts against the peer only for the time since the stream was opened.

--- a/packages/protocol/src/peerChannel.ts
+++ b/packages/protocol/src/peerChannel.ts
@@ -91,6 +91,8 @@
   /** Name of the peer in error messages. */
   peer: string;
   supervision?: Supervision;
+  /** Whether frames are exchanged at once, or only after `open`; true by default. */
+  isOpen?: boolean;
   /** Called when supervision starts; `tick` has to be called at every heartbeat interval until
    * `isSupervised` is false. */
   onSupervised?: () => void;
@@ -122,6 +124,9 @@
 
   private supervision: Supervision;
 
+  /** Clock time since which frames are exchanged; infinite before. */
+  private openSinceMs: number;
+
   /** Start of the current supervision; silence before it does not count. */
   private supervisedSinceMs: number;
 
@@ -140,6 +145,7 @@
     clock,
     peer,
     supervision = 'always',
+    isOpen = true,
     onSupervised = () => undefined,
   }: PeerChannelOptions) {
     this.handler = handler;
@@ -147,6 +153,7 @@
     this.peer = peer;
     this.supervision = supervision;
     this.onSupervised = onSupervised;
+    this.openSinceMs = isOpen ? clock.now() : Infinity;
     this.supervisedSinceMs = clock.now();
     this.lastTickAtMs = clock.now();
   }
@@ -230,13 +237,19 @@
       this.supervisedSinceMs = now;
       return;
     }
-    if (now - this.expectedSinceMs > RECEIVE_TIMEOUT_MS) {
+    if (this.openSinceMs !== Infinity && now - this.expectedSinceMs > RECEIVE_TIMEOUT_MS) {
       this.close(`nothing was received for ${RECEIVE_TIMEOUT_MS} ms`);
       return;
     }
     this.cancelStalledCalls(now);
   }
 
+  /** Starts the exchange of frames; until then, the peer can't be silent, and calls wait. */
+  open(): void {
+    this.openSinceMs = this.clock.now();
+    this.supervisedSinceMs = this.clock.now();
+  }
+
   /** Adds a listener that is called when the stream closes. */
   onClose(listener: () => void): void {
     this.closeListeners.push(listener);
@@ -337,7 +350,7 @@
     const stalled = [...this.outgoingCalls].filter(
       ([, call]) => now - call.lastProgressAtMs > call.progressTimeoutMs,
     );
-    const isMute = stalled.some(([, call]) => (this.lastBatchAtMs ?? -Infinity) < call.startedAtMs);
+    const isMute = stalled.some(([, call]) => this.isMuteSince(call, now));
     stalled.forEach(([number, call]) => {
       this.cancelCall(number, this.noProgressError(call.progressTimeoutMs));
     });
@@ -345,6 +358,12 @@
     if (isMute) this.close('the peer sent nothing during a call');
   }
 
+  /** Whether the peer has sent nothing for the whole time in which it could have answered a call. */
+  private isMuteSince({ startedAtMs, progressTimeoutMs }: OutgoingCall, now: number): boolean {
+    const sinceMs = Math.max(startedAtMs, this.openSinceMs);
+    return now - sinceMs > progressTimeoutMs && (this.lastBatchAtMs ?? -Infinity) < sinceMs;
+  }
+
   private receiveHeartbeat({ permanent }: Heartbeat): void {
     if (!permanent || this.supervision === 'always') return;
     this.supervision = 'always';
--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -74,7 +74,8 @@
     const { handler, clock, address, supervision = 'always' } = this.options;
     if (this.isPermanent) this.heartbeat.start();
     const onSupervised = () => this.heartbeat.start();
-    return new PeerChannel({ handler, clock, peer: address, supervision, onSupervised });
+    const isOpen = false;
+    return new PeerChannel({ handler, clock, peer: address, supervision, isOpen, onSupervised });
   }
 
   private tick(): boolean {
@@ -118,6 +119,7 @@
     this.stopController.signal.addEventListener('abort', stop);
     channel.onClose(stop);
     const idleCheck = this.isPermanent ? undefined : this.closeWhenIdle(channel);
+    channel.open();
     let session: PeerSession | undefined;
     try {
       const openSession = new PeerSession({ authority: baseUrl, tls: tls && readTlsFiles(tls) });
