All calls of an entry hold bytes within one limit; the largest go first

Cause: one answer was limited to 8 MiB, but nothing limited what all answers, inputs and unread output hold together. 240 turns keep their whole text for the commit; 14 MiB more than the heap of the deploy file is reached after 0.5 MiB each. A view of four bytes (EventBoundary) kept the last chunk of each stream, 64 KiB, in memory; a resumable stream copied an incomplete event with every chunk.

Fix: ByteAccount (one per process) is told the size of each holding: buffered answers, text of turns, incomplete events, inputs, output that a caller hasn't accepted. Above it the largest holding is broken off: an answer as endpoint-failed with unknown execution, an input that isn't read whole as overloaded (not run), unread output with its caller. A turn is broken off once it has more events, or more bytes, than its reserved tokens allow. Streams whose turn isn't stored keep no text. An endpoint whose answer is broken off gets no calls for a while, as after any failure.

Observability: gauges gateway_held_{answer,input,output,peak}_bytes and process_peak_memory_bytes, counters gateway_broken_holdings_total and endpoint_answers_limited_total, event 819 answerBrokenOff with limit, endpoint and bytes.

--- a/packages/gateway/src/__tests__/answerRelay.test.ts
+++ b/packages/gateway/src/__tests__/answerRelay.test.ts
@@ -2,8 +2,10 @@
 import type http from 'node:http';
 import { PassThrough } from 'node:stream';
 import test from 'node:test';
+import { ByteAccount } from '@marjorampin/http';
 import { writeToCaller } from '../answerRelay';
 
+const held = new ByteAccount({ limitBytes: Infinity });
 const EVENTS = ['drain', 'close', 'error'];
 /** More than the listeners for which Node.js warns of a leak. */
 const PAUSES = 30;
@@ -15,7 +17,7 @@
 const listenersOf = (response: PassThrough) => EVENTS.map((name) => response.listenerCount(name));
 
 const write = (response: PassThrough, text: string) =>
-  writeToCaller(response as unknown as http.ServerResponse, Buffer.from(text));
+  writeToCaller(response as unknown as http.ServerResponse, Buffer.from(text), held);
 
 test('an answer that pauses often leaves no listeners', async () => {
   const response = createResponse();
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -1,9 +1,11 @@
 import type http from 'node:http';
+import type { ByteAccount, Holding } from '@marjorampin/http';
 import { CallError, type Clock } from '@marjorampin/types';
 import type { CallerLimits, Route } from '@marjorampin/routing';
 import type { CallTrace } from './callTrace';
 import type { CallHeaders } from './headerCodec';
 import type { CallInput } from './callInput';
+import { inputsTooLarge } from './gatewayErrors';
 import { readChunks } from './messageChunks';
 
 const NO_BODY = Buffer.alloc(0);
@@ -15,6 +17,8 @@
   route: Route;
   callHeaders: CallHeaders;
   body: Buffer;
+  /** Bytes that the call holds as its input; absent without a body. */
+  holding: Holding | undefined;
   input: CallInput;
   trace: CallTrace;
   /** Clock time by which the caller must be answered, in milliseconds. */
@@ -23,16 +27,30 @@
   signal: AbortSignal;
 }
 
+/** A request's body with the holding of its bytes, which has to be closed; absent without a body. */
+export interface CallerBody {
+  body: Buffer;
+  holding?: Holding;
+}
+
+/** How a request's body is read. */
+export interface ReadOptions {
+  limits: CallerLimits;
+  /** Counts the bytes that are held. */
+  held: ByteAccount;
+  signal: AbortSignal;
+}
+
 /**
- * Reads a request body. Throws `too-large` above the size limit, `cancelled` when the body ends
+ * Reads a request body. Throws `too-large` above the size limit, `overloaded` if the process holds too
+ * much to accept it, `cancelled` when the body ends
  * early or `signal` aborts, and an `Error` when no data arrives within the idle timeout, which
  * destroys the request.
  */
 export async function readCallerBody(
   message: http.IncomingMessage,
-  { bodyBytes, idleTimeoutMs }: CallerLimits,
-  signal: AbortSignal,
-): Promise<Buffer> {
+  { limits: { bodyBytes, idleTimeoutMs }, held, signal }: ReadOptions,
+): Promise<CallerBody> {
   const tooLarge = () =>
     new CallError({
       kind: 'too-large',
@@ -40,7 +58,10 @@
     });
   const declaredBytes = Number(message.headers['content-length'] ?? 0);
   if (declaredBytes > bodyBytes) throw tooLarge();
-  if (declaredBytes === 0 && message.headers['transfer-encoding'] === undefined) return NO_BODY;
+  if (declaredBytes === 0 && message.headers['transfer-encoding'] === undefined) {
+    return { body: NO_BODY };
+  }
+  if (!held.hasRoomFor(declaredBytes)) throw inputsTooLarge(held);
   const chunks: Buffer[] = [];
   let bytes = 0;
   const idle = setTimeout(
@@ -48,22 +69,31 @@
     idleTimeoutMs,
   );
   const aborted = rejectOnAbort(signal);
+  const holding = held.open({
+    kind: 'input',
+    breakOff: () => aborted.reject(inputsTooLarge(held)),
+  });
   const read = readChunks(message, (chunk) => {
     idle.refresh();
     bytes += chunk.length;
     if (bytes > bodyBytes) throw tooLarge();
     if (signal.aborted) throw bodyIncomplete();
     chunks.push(chunk);
+    holding.resize(bytes);
     return undefined;
   });
   try {
     await Promise.race([read, aborted.promise]);
+    if (!message.complete) throw bodyIncomplete();
+    if (!holding.protect()) throw inputsTooLarge(held);
+  } catch (error) {
+    holding.close();
+    throw error;
   } finally {
     clearTimeout(idle);
     aborted.release();
   }
-  if (!message.complete) throw bodyIncomplete();
-  return Buffer.concat(chunks);
+  return { body: Buffer.concat(chunks), holding };
 }
 
 function bodyIncomplete(): CallError {
@@ -71,14 +101,26 @@
   return new CallError({ kind: 'cancelled', message });
 }
 
-/** Returns a promise that rejects when `signal` aborts, and a function that stops listening. */
-function rejectOnAbort(signal: AbortSignal): { promise: Promise<never>; release(): void } {
-  let onAbort = () => undefined as void;
+/** A promise that rejects when a signal aborts or `reject` is called. */
+interface Interruption {
+  promise: Promise<never>;
+  reject(error: Error): void;
+  /** Stops listening. */
+  release(): void;
+}
+
+function rejectOnAbort(signal: AbortSignal): Interruption {
+  let rejectPromise: Interruption['reject'] = () => undefined;
   const promise = new Promise<never>((_, reject) => {
-    onAbort = () => reject(bodyIncomplete());
-    signal.addEventListener('abort', onAbort);
+    rejectPromise = reject;
   });
-  return { promise, release: () => signal.removeEventListener('abort', onAbort) };
+  const onAbort = () => rejectPromise(bodyIncomplete());
+  signal.addEventListener('abort', onAbort);
+  return {
+    promise,
+    reject: rejectPromise,
+    release: () => signal.removeEventListener('abort', onAbort),
+  };
 }
 
 /** Returns the milliseconds until a call's deadline; 0 after it has passed. */
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -4,11 +4,13 @@
   type RefusalRequest,
   retryDelayMs,
 } from '@marjorampin/routing';
+import type { ByteAccount } from '@marjorampin/http';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import { CallError, type Clock, type Endpoint, toCallError } from '@marjorampin/types';
 import { type CallerRequest, remainingMs } from './callerRequest';
 import type { HeaderCodec } from './headerCodec';
+import type { AnswerBody } from './answerBody';
 import { AttemptHistory } from './attemptHistory';
 import type { EndpointChoice } from './endpointChoice';
 import type { EndpointCrashes } from './endpointCrashes';
@@ -26,6 +28,8 @@
   suspects: SuspectCalls;
   rateLimits: RateLimits;
   headerCodec: HeaderCodec;
+  /** Counts the bytes that are held of answers. */
+  held: ByteAccount;
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
@@ -39,6 +43,8 @@
   body: Buffer;
   warmEndpoint: string;
   contextTokens: number;
+  /** Limit of a stream, in bytes, if it is lower than that of all answers. */
+  maximumAnswerBytes?: number | undefined;
   /** Returns the id of the last event that was passed on, from which another run can continue. */
   lastEventId?(): string | undefined;
 }
@@ -218,6 +224,20 @@
     };
   }
 
+  private recordLimit(request: string, { id, service }: Endpoint, body: AnswerBody): void {
+    const { log, metrics } = this.options;
+    const { exceeded, bytes } = body;
+    if (!exceeded) return;
+    metrics.count('endpoint_answers_limited_total', { limit: exceeded.limit });
+    log.write('answerBrokenOff', {
+      request,
+      endpoint: id,
+      service,
+      answerBytes: bytes,
+      ...exceeded,
+    });
+  }
+
   private trace({ trace }: CallerRequest, { id }: Endpoint): void {
     const { choice, clock, stalenessMs } = this.options;
     const reportedAtMs = choice.directory.get(id)?.reportedAtMs;
@@ -230,11 +250,11 @@
 
   private async send<T>(
     request: CallerRequest,
-    { body, service, lastEventId, mayReuseConnection }: SentCall,
+    { body, service, lastEventId, mayReuseConnection, maximumAnswerBytes }: SentCall,
     endpoint: Endpoint,
     handleAnswer: AnswerHandler<T>,
   ): Promise<T> {
-    const { choice, suspects, rateLimits, headerCodec, clock, log, metrics } = this.options;
+    const { choice, suspects, rateLimits, headerCodec, held, clock, log, metrics } = this.options;
     const { message, route, callHeaders, input, signal, trace } = request;
     const leftMs = remainingMs(request, clock);
     const headers = headerCodec.writeCall(message.rawHeaders, {
@@ -250,8 +270,9 @@
     rateLimits.recordSend(endpoint, trace.sendCount > 1);
     const isSuspected = suspects.rankOf(input) !== undefined;
     const endTrial = isSuspected ? suspects.begin(input) : undefined;
+    let answer: EndpointAnswer | undefined;
     try {
-      const answer = await exchangeWithEndpoint(
+      answer = await exchangeWithEndpoint(
         {
           endpoint,
           method: message.method ?? 'GET',
@@ -262,6 +283,8 @@
           signal,
           mayReuseConnection,
           expectsEvents: route.kind === 'stream',
+          held,
+          maximumAnswerBytes,
         },
         headerCodec,
       );
@@ -275,6 +298,7 @@
     } catch (error) {
       const failure = toCallError(error);
       if (failure.kind === 'endpoint-failed') choice.recordFailure(endpoint);
+      if (answer?.body.exceeded) this.recordLimit(callHeaders.requestId, endpoint, answer.body);
       if (!signal.aborted) {
         log.write('sendFailed', {
           request: callHeaders.requestId,
@@ -289,6 +313,7 @@
       }
       throw failure;
     } finally {
+      answer?.body.release();
       endTrial?.();
       directory.callFinished(endpoint.id);
       metrics.count('endpoint_answers_total', trace.answerLabels);
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import { MAXIMUM_INTERIM_ANSWERS } from '@marjorampin/http';
+import { type ByteAccount, MAXIMUM_INTERIM_ANSWERS } from '@marjorampin/http';
 import type { Endpoint } from '@marjorampin/types';
 import { CallError, parsePeerAddress } from '@marjorampin/types';
 import { KeepAliveAgent } from './keepAliveAgent';
@@ -25,6 +25,10 @@
   mayReuseConnection: boolean;
   /** Whether the body of a success is a stream of server-sent events. */
   expectsEvents: boolean;
+  /** Counts the bytes of the answer that are held. */
+  held: ByteAccount;
+  /** Limit of an answer whose size is not declared, in bytes, if it is lower than that of all answers. */
+  maximumAnswerBytes?: number | undefined;
 }
 
 /** Idle connections are closed after this time, as the endpoint may already be closing them. */
@@ -139,7 +143,8 @@
       }
       answerMessage = message;
       const isEventStream = call.expectsEvents && status === 200;
-      const answerBody = new AnswerBody({ message, isEventStream });
+      const { held, maximumAnswerBytes: maximumBytes } = call;
+      const answerBody = new AnswerBody({ message, isEventStream, held, maximumBytes });
       resolve({ status, headers: message.rawHeaders, parsedHeaders, body: answerBody });
     });
     request.on('error', (error) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { ByteAccount, type Holding, HOLDING_KINDS } from '@marjorampin/http';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import type { Quarantine } from '@marjorampin/quarantine';
@@ -36,6 +37,7 @@
   entryLagging,
   unknownRoute,
 } from './gatewayErrors';
+import { heldLimitBytes } from './heldLimit';
 import { LoopLag } from './loopLag';
 import { RateLimits } from './rateLimits';
 import { headerBytes, headerValue } from './rawHeaders';
@@ -51,6 +53,8 @@
 /** Utilization above which calls wait unread so long that many callers have left before. */
 const BACKLOG_UTILIZATION = 0.9;
 
+const BYTES_PER_KIB = 1_024;
+
 /** Number of interrupted inputs that the log line of a crash lists. */
 const LOGGED_INPUTS = 16;
 
@@ -83,6 +87,8 @@
   loopTimes(): LoopTimes;
   /** How entries share callers' connections; by default, each serves its own. */
   sharing?: ConnectionSharing | undefined;
+  /** Limit of the bytes that all calls hold together; a share of the heap by default. */
+  heldLimitBytes?: number | undefined;
 }
 
 /** A request with the data for its log entry. */
@@ -97,6 +103,8 @@
 export class Gateway {
   private readonly options: GatewayOptions;
 
+  private readonly held: ByteAccount;
+
   private readonly choice: EndpointChoice;
 
   private readonly crashes: EndpointCrashes;
@@ -127,6 +135,10 @@
   constructor(options: GatewayOptions) {
     this.options = options;
     const { clock, domain, headerCodec, log, metrics, turns, permits, quarantine } = options;
+    this.held = new ByteAccount({
+      limitBytes: options.heldLimitBytes ?? heldLimitBytes(),
+      onBreakOff: ({ kind }) => metrics.count('gateway_broken_holdings_total', { kind }),
+    });
     this.load = new EventLoopLoad({ sample: () => options.loopTimes() });
     this.saturation = new Saturation({
       onStart: () => log.write('entrySaturated', { active: this.openResponses.size }),
@@ -146,13 +158,14 @@
       suspects: this.suspects,
       rateLimits,
       headerCodec,
+      held: this.held,
       clock,
       log,
       metrics,
       stalenessMs,
     });
-    this.calls = new CallForwarder({ attempts, headerCodec });
-    this.turns = new TurnForwarder({ attempts, headerCodec, turns });
+    this.calls = new CallForwarder({ attempts, headerCodec, held: this.held });
+    this.turns = new TurnForwarder({ attempts, headerCodec, held: this.held, turns });
     const { address, readyAddress, sharing } = options;
     this.server = new CallerServer({
       address,
@@ -268,6 +281,21 @@
       'connections relayed to other entries',
       () => this.server.relayedConnections,
     );
+    HOLDING_KINDS.forEach((kind) => {
+      metrics.gauge(`gateway_held_${kind}_bytes`, `bytes held of ${kind}s`, () =>
+        this.held.bytesOf(kind),
+      );
+    });
+    metrics.gauge(
+      'gateway_held_peak_bytes',
+      'most bytes that calls held together',
+      () => this.held.peakBytes,
+    );
+    metrics.gauge(
+      'process_peak_memory_bytes',
+      'largest resident memory of this process',
+      () => process.resourceUsage().maxRSS * BYTES_PER_KIB,
+    );
   }
 
   private async serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -321,9 +349,12 @@
     this.refuseIfStopping(deadlineMs);
     this.lastAcceptedAtMs = clock.now();
     const caller = trackCaller(response, callTimeoutMs);
+    let holding: Holding | undefined;
     try {
       const { signal } = caller;
-      const body = await readCallerBody(message, limits, signal);
+      const read = await readCallerBody(message, { limits, held: this.held, signal });
+      holding = read.holding;
+      const { body } = read;
       // The stop may have begun meanwhile.
       this.refuseIfStopping(deadlineMs);
       const isBehind = this.lag.isBehind || this.load.utilization > BACKLOG_UTILIZATION;
@@ -334,6 +365,7 @@
         route,
         callHeaders,
         body,
+        holding,
         input: new CallInput({ host, method: message.method ?? 'GET', target, body }),
         trace,
         deadlineMs,
@@ -346,6 +378,7 @@
       if (!caller.isExpired || failure.kind === 'deadline-exceeded') throw failure;
       throw deadlinePassed(failure.execution);
     } finally {
+      holding?.close();
       caller.release();
     }
   }
--- a/packages/gateway/src/gatewayErrors.ts
+++ b/packages/gateway/src/gatewayErrors.ts
@@ -1,3 +1,4 @@
+import type { ByteAccount } from '@marjorampin/http';
 import type { CallerLimits } from '@marjorampin/routing';
 import { CallError } from '@marjorampin/types';
 
@@ -56,6 +57,15 @@
   });
 }
 
+/** Error when the inputs and answers in progress leave no room for another input. */
+export function inputsTooLarge({ limitBytes }: ByteAccount): CallError {
+  return new CallError({
+    kind: 'overloaded',
+    message: `the calls in progress at this entry hold nearly ${limitBytes} bytes; retry at another one after ${OTHER_ENTRY_RETRY_MS} ms`,
+    retryAfterMs: OTHER_ENTRY_RETRY_MS,
+  });
+}
+
 /** Error when no route matches the host and target. */
 export function unknownRoute(target: string): CallError {
   return new CallError({
--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -3,9 +3,9 @@
 import { pickService, type RoutedService } from '@marjorampin/routing';
 import { RETENTION_MARGIN_MS, type TurnReservation, type TurnStore } from '@marjorampin/turns';
 import { CallError, type Endpoint, toCallError } from '@marjorampin/types';
-import { relayAnswer, relayStream } from './answerRelay';
+import { holdUnsent, relayAnswer, type RelayContext, relayStream } from './answerRelay';
 import type { CallerRequest } from './callerRequest';
-import type { HeaderCodec, ProgramHeaders } from './headerCodec';
+import type { ProgramHeaders } from './headerCodec';
 import type { EndpointAttempts } from './endpointAttempts';
 import type { EndpointAnswer } from './endpointExchange';
 import { EventReader } from './eventReader';
@@ -14,10 +14,15 @@
  * finer resolution than any weight needs. */
 const SESSION_DIGITS = 6;
 
+/** Size up to which an event of a turn is expected: the text of its tokens with what an engine adds. */
+const EXPECTED_EVENT_BYTES = 4 * 1024;
+
+/** Events that a stream may have besides those with tokens, for example one that announces its end. */
+const FURTHER_EVENTS = 16;
+
 /** Options of `TurnForwarder`. */
-export interface TurnForwarderOptions {
+export interface TurnForwarderOptions extends RelayContext {
   attempts: EndpointAttempts;
-  headerCodec: HeaderCodec;
   turns: TurnStore;
 }
 
@@ -29,6 +34,8 @@
   /** The turns that this one continues, oldest first. */
   chain: TurnRecord[];
   tokensPerEvent: number;
+  /** Undefined if the turn reserves no tokens. */
+  maximumEvents: number | undefined;
   /** Events passed on to the caller, by all runs of a resumed stream. */
   events: EventReader;
 }
@@ -60,16 +67,27 @@
     };
     const chain = await this.options.turns.reserve(reservation);
     const tokensPerEvent = findService(service)?.engine?.tokensPerEvent ?? 1;
-    const events = new EventReader();
-    const turn: OpenTurn = { request, program, reservation, chain, tokensPerEvent, events };
+    const events = new EventReader({ keepsOutput: route.storesTurns });
+    const maximumEvents = maximumEventsOf(reservation.tokens, tokensPerEvent);
+    const turn: OpenTurn = {
+      request,
+      program,
+      reservation,
+      chain,
+      tokensPerEvent,
+      maximumEvents,
+      events,
+    };
     const context = chain.flatMap(({ input, output }) => [input, output]);
     const outgoing = {
       service,
-      body: Buffer.concat([...context, body]),
+      body: context.length > 0 ? Buffer.concat([...context, body]) : body,
+      maximumAnswerBytes: maximumEvents && maximumEvents * EXPECTED_EVENT_BYTES,
       warmEndpoint: chain.at(-1)?.endpoint ?? '',
       contextTokens: callHeaders.promptTokens,
       lastEventId: () => events.lastEventId,
     };
+    if (context.length > 0) request.holding?.resize(body.length + outgoing.body.length);
     let wasAnswered = false;
     try {
       await this.options.attempts.run(request, outgoing, (answer, endpoint) => {
@@ -90,19 +108,21 @@
     answer: EndpointAnswer,
     endpoint: Endpoint,
   ): Promise<void> {
-    const { headerCodec, turns } = this.options;
+    const { turns, held } = this.options;
     const { response } = turn.request;
     if (answer.status !== 200 && !response.headersSent) {
-      await relayAnswer(response, answer, headerCodec);
+      await relayAnswer(response, answer, this.options);
       turns.settle(turn.reservation, 0);
       return;
     }
-    await relayStream(response, answer, headerCodec, {
+    await relayStream(response, answer, this.options, {
       isResumable: turn.request.route.isResumable,
-      onBytes: (bytes) => turn.events.read(bytes),
+      events: turn.events,
+      maximumEvents: turn.maximumEvents,
     });
     await this.finish(turn, endpoint);
     response.end();
+    holdUnsent(response, held);
   }
 
   /** Stores a completed turn, or only the tokens that it used if its route does not store turns. */
@@ -122,6 +142,12 @@
   return Math.ceil(events.startedCount * tokensPerEvent);
 }
 
+/** Returns the number of events that a turn with these reserved tokens doesn't exceed; undefined if it
+ * reserves none. */
+function maximumEventsOf(tokens: number, tokensPerEvent: number): number | undefined {
+  return tokens === 0 ? undefined : Math.ceil(tokens / tokensPerEvent) + FURTHER_EVENTS;
+}
+
 function createTurnRecord(turn: OpenTurn, endpoint: Endpoint): TurnRecord {
   const { request, program, reservation, chain, events } = turn;
   const last = chain.at(-1);
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -359,6 +359,13 @@
     message: 'a connection could not be relayed to another entry and is served by this one',
     remedy: 'Check the host of the entry if this repeats.',
   },
+  answerBrokenOff: {
+    number: 819,
+    level: 'warn',
+    message: 'an answer was broken off because it exceeded a limit',
+    remedy:
+      'Check what `endpoint` sends; for the limit `process` only if `answerBytes` is large, otherwise compare the gauges `gateway_held_*` and give the process more memory.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
