A batch to a peer is limited in bytes, not only in frames

Cause: up to 256 frames were sent as one message. 24 commits of 1 MB at once are a message of 24 MB; a keeper closes the stream of a peer above 16 MiB, with all other calls on it. Smaller sums are sent, received and parsed as a whole before any other call, longer than the quorum waits.

Fix: a batch takes no further frame above 256 KiB. A batch of one frame isn't measured.

--- /dev/null
+++ b/packages/protocol/src/frameBytes.ts
@@ -0,0 +1,11 @@
+/** Returns about how many bytes a message takes: those of its texts and byte fields. */
+export function messageBytes(value: unknown): number {
+  if (typeof value === 'string') return value.length;
+  if (value instanceof Uint8Array) return value.length;
+  if (typeof value !== 'object' || value === null) return 0;
+  let bytes = 0;
+  Object.values(value).forEach((field) => {
+    bytes += messageBytes(field);
+  });
+  return bytes;
+}
--- a/packages/protocol/src/frameQueue.ts
+++ b/packages/protocol/src/frameQueue.ts
@@ -1,8 +1,13 @@
 import { create } from '@bufbuild/protobuf';
+import { messageBytes } from './frameBytes';
 import { type Batch, BatchSchema, type Frame } from './gen/peer_pb';
 
 const MAXIMUM_FRAMES_PER_BATCH = 256;
 
+/** Size above which a batch takes no further frame. A batch is sent, received and parsed as a whole, and
+ * the peer closes a stream whose batch is too large. */
+const FULL_BATCH_BYTES = 256 * 1024;
+
 /** Queue of the outgoing frames of one stream; iterating it yields the queued frames in batches. */
 export class FrameQueue implements AsyncIterableIterator<Batch, undefined> {
   private frames: Frame[] = [];
@@ -50,11 +55,23 @@
 
   /** Takes the next batch; none is left once the queue is closed and empty. */
   private take(): IteratorResult<Batch, undefined> {
-    const frames = this.frames.splice(0, MAXIMUM_FRAMES_PER_BATCH);
+    const frames = this.frames.splice(0, this.nextBatchLength());
     if (frames.length === 0) return { done: true, value: undefined };
     return { done: false, value: create(BatchSchema, { frames }) };
   }
 
+  private nextBatchLength(): number {
+    const { frames } = this;
+    const limit = Math.min(frames.length, MAXIMUM_FRAMES_PER_BATCH);
+    if (limit <= 1) return limit;
+    let bytes = 0;
+    for (let length = 0; length < limit; length += 1) {
+      bytes += messageBytes(frames[length]?.body);
+      if (bytes > FULL_BATCH_BYTES) return Math.max(1, length);
+    }
+    return limit;
+  }
+
   private signal(): void {
     this.wake?.();
     this.wake = undefined;
