Peers send large messages without waiting for each other's event loops

Cause: the HTTP/2 windows of a peer's stream were the default of 64 KiB, so that a message of 1 MB waits 16 times for the event loops of both ends. Commits of small turns wait behind it, longer than the 900 ms of the quorum. The keepers used 0.5 s of processor time in the 3 s.

Fix: windows of 4 MiB for the stream and its session, on both ends. What arrives is read without back pressure anyway.

--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Clock, PeerAddress } from '@marjorampin/types';
 import type { Batch } from './gen/peer_pb';
+import { STREAM_SETTINGS, widenWindow } from './flowControl';
 import { HeartbeatTimer } from './heartbeatTimer';
 import { PeerChannel, type PeerHandler } from './peerChannel';
 import { createPeerListener } from './peerListener';
@@ -35,8 +36,12 @@
   constructor(options: PeerServerOptions) {
     this.options = options;
     this.server = options.tls
-      ? http2.createSecureServer({ ...readTlsFiles(options.tls), requestCert: true })
-      : http2.createServer();
+      ? http2.createSecureServer({
+          ...readTlsFiles(options.tls),
+          requestCert: true,
+          settings: STREAM_SETTINGS,
+        })
+      : http2.createServer({ settings: STREAM_SETTINGS });
     this.server.on(
       'stream',
       createPeerListener((batches) => this.exchange(batches)),
@@ -44,6 +49,7 @@
     this.server.on('session', (session) => {
       // A connection accepted while the server closes would keep it from closing.
       if (this.isClosed) session.destroy();
+      else widenWindow(session);
       this.sessions.add(session);
       session.on('error', () => session.destroy());
       session.on('close', () => this.sessions.delete(session));
--- a/packages/protocol/src/peerSession.ts
+++ b/packages/protocol/src/peerSession.ts
@@ -1,5 +1,6 @@
 import http2 from 'node:http2';
 import { CallError } from '@marjorampin/types';
+import { STREAM_SETTINGS, widenWindow } from './flowControl';
 
 /** Time to connect; later attempts of the system to connect would be too far apart. */
 const CONNECT_TIMEOUT_MS = 600;
@@ -46,7 +47,7 @@
 
   private connect(): Promise<http2.ClientHttp2Session> {
     return new Promise((resolve, reject) => {
-      const session = http2.connect(this.authority, this.tls);
+      const session = http2.connect(this.authority, { ...this.tls, settings: STREAM_SETTINGS });
       this.session = session;
       const timer = setTimeout(() => {
         session.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
@@ -58,6 +59,7 @@
       });
       session.once('connect', () => {
         clearTimeout(timer);
+        widenWindow(session);
         resolve(session);
       });
     });
