--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -403,6 +403,13 @@
     remedy:
       'Look up `request` in events 802 and 804; `state` is how far it had come, `stopMs` the time since a stop began.',
   },
+  answerBrokenOff: {
+    number: 820,
+    level: 'warn',
+    message: 'an answer was broken off because it exceeded a limit',
+    remedy:
+      'Check what `endpoint` sends; for the limit `process` only if `answerBytes` is large, otherwise compare the gauges `gateway_held_*` and give the process more memory.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
