Log each connection that a process ends unanswered, and its own end

Rule LOST has five forms, and the logs told none of them apart: connections that an entry ends with a request on them left no trace, a process that ended by itself left a stack on standard error only, and the peak of its memory was not measured.

- Event 819: reason, request id, how far the request had come (unread, reading, read, passed on, half answered), whether the connection had carried a request before, the time since a stop began and the version of the configuration.
Written where a connection is ended; a request that is answered whole costs one entry of a weak set.
A relaying entry reads no ids, and can't tell an answer that the other entry ends in order from a whole one; the other entry logs that.
- Events 104 and 105: the last line of a process, with its reason and peak of memory.
The rate limit of the log doesn't apply to it.
- Event 106: the first time at which an entry is ready or a keeper complete.

--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -23,9 +23,16 @@
   signal: AbortSignal;
 }
 
+/** The caller sent no data within the idle timeout; this ends its connection. */
+export class BodyOverdue extends Error {
+  constructor() {
+    super('the caller sent no data within the idle timeout; send the body without pauses');
+  }
+}
+
 /**
  * Reads a request body. Throws `too-large` above the size limit, `cancelled` when the body ends
- * early or `signal` aborts, and an `Error` when no data arrives within the idle timeout, which
+ * early or `signal` aborts, and `BodyOverdue` when no data arrives within the idle timeout, which
  * destroys the request.
  */
 export async function readCallerBody(
@@ -43,10 +50,7 @@
   if (declaredBytes === 0 && message.headers['transfer-encoding'] === undefined) return NO_BODY;
   const chunks: Buffer[] = [];
   let bytes = 0;
-  const idle = setTimeout(
-    () => message.destroy(new Error('the caller sent no data within the idle timeout')),
-    idleTimeoutMs,
-  );
+  const idle = setTimeout(() => message.destroy(new BodyOverdue()), idleTimeoutMs);
   const aborted = rejectOnAbort(signal);
   const read = readChunks(message, (chunk) => {
     idle.refresh();
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { CallerLimits } from '@marjorampin/routing';
 import type { Clock, PeerAddress } from '@marjorampin/types';
+import type { EndedConnections } from './endedConnections';
 import { ConnectionRelay, relayGreeting, type RelayTarget } from './connectionRelay';
 
 /** Limit of the HTTP parser on headers; the configured limit is checked after parsing. */
@@ -46,6 +47,7 @@
   log: EventLog;
   metrics: Metrics;
   clock: Clock;
+  endedConnections: EndedConnections;
   /** Absent if this entry serves all its callers by itself. */
   sharing?: ConnectionSharing | undefined;
   serve(message: http.IncomingMessage, response: http.ServerResponse): void;
@@ -102,8 +104,14 @@
     });
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket as Socket));
     this.applyLimits(INITIAL_LIMITS);
-    const { log, metrics, sharing, version, longestTimeoutMs } = options;
-    this.relay = new ConnectionRelay({ log, metrics, version, longestTimeoutMs });
+    const { log, metrics, endedConnections, sharing, version, longestTimeoutMs } = options;
+    this.relay = new ConnectionRelay({
+      log,
+      metrics,
+      endedConnections,
+      version,
+      longestTimeoutMs,
+    });
     if (sharing) {
       this.placingServer = net.createServer({ noDelay: true, pauseOnConnect: true }, (socket) =>
         this.placeConnection(socket, sharing),
@@ -185,7 +193,11 @@
   /** A second request on a relayed connection would be cut when the connection closes. */
   private isServable(socket: Socket): boolean {
     if (!this.isRelayed(socket)) return true;
-    if (this.usedRelays.has(socket)) return false;
+    if (this.usedRelays.has(socket)) {
+      const reason = 'one request on a relayed connection';
+      this.options.endedConnections.record({ reason, progress: 'unread', isKept: true });
+      return false;
+    }
     this.usedRelays.add(socket);
     return true;
   }
--- a/packages/gateway/src/connectionRelay.ts
+++ b/packages/gateway/src/connectionRelay.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { PeerAddress } from '@marjorampin/types';
 import { afterPoll } from './afterPoll';
+import type { EndedConnections, EndReason, RequestProgress } from './endedConnections';
 
 /** Time within which the other entry must accept a connection; it is in the same failure domain. */
 const ACCEPT_TIMEOUT_MS = 250;
@@ -22,10 +23,25 @@
 /** What became of a connection: unless it is relayed, nothing has been read from it. */
 export type RelayOutcome = 'relayed' | 'unreachable' | 'other configuration' | 'stopping';
 
+/** A caller's connection joined with the one to the entry that serves it. */
+interface JoinedSockets {
+  /** How far the request has come; undefined without one or once it is answered. */
+  readonly progress: RequestProgress | undefined;
+  /** Ends the relaying, but leaves the caller's connection paused and open. */
+  detach(): void;
+}
+
+interface JoinOptions {
+  answerTimeoutMs: number;
+  /** Called if the entry ends a connection before its request is answered whole. */
+  onInterruption(reason: EndReason, progress: RequestProgress): void;
+}
+
 /** Options of `ConnectionRelay`. */
 export interface ConnectionRelayOptions {
   log: EventLog;
   metrics: Metrics;
+  endedConnections: EndedConnections;
   /** Returns the version of the configuration in effect. */
   version(): number;
   /** Returns the longest timeout of a route in milliseconds. */
@@ -44,8 +60,8 @@
 export class ConnectionRelay {
   private readonly options: ConnectionRelayOptions;
 
-  /** Callers' connections that are being relayed, with functions that end this without closing them. */
-  private readonly callers = new Map<net.Socket, () => void>();
+  /** Callers' connections that are being relayed. */
+  private readonly callers = new Map<net.Socket, JoinedSockets>();
 
   /** Callers' connections for which another entry has not accepted one yet. */
   private readonly connecting = new Set<net.Socket>();
@@ -63,7 +79,7 @@
 
   /** Relays a paused connection. If that is not possible, nothing is read from the connection. */
   async relay(caller: net.Socket, target: RelayTarget): Promise<RelayOutcome> {
-    const { log, metrics, version, longestTimeoutMs } = this.options;
+    const { log, metrics, endedConnections, version, longestTimeoutMs } = this.options;
     const ignoreError = () => undefined;
     // A caller that leaves meanwhile is noticed once the connection is read.
     caller.on('error', ignoreError);
@@ -79,14 +95,18 @@
       return outcome;
     }
     caller.on('close', () => this.callers.delete(caller));
-    this.callers.set(caller, joinSockets(caller, entry, longestTimeoutMs() + ANSWER_MARGIN_MS));
+    const joined = joinSockets(caller, entry, {
+      answerTimeoutMs: longestTimeoutMs() + ANSWER_MARGIN_MS,
+      onInterruption: (reason, progress) => endedConnections.record({ reason, progress }),
+    });
+    this.callers.set(caller, joined);
     return outcome;
   }
 
   /** Relays no more connections, and hands those back on which no request has arrived. */
   beginStop(takeBack: (caller: net.Socket) => void): void {
     this.isStopping = true;
-    this.callers.forEach((detach, caller) => {
+    this.callers.forEach(({ detach }, caller) => {
       if (caller.bytesRead > 0 || caller.destroyed) return;
       this.callers.delete(caller);
       detach();
@@ -96,6 +116,9 @@
 
   /** Closes all relayed connections. */
   close(): void {
+    this.callers.forEach(({ progress }) => {
+      if (progress) this.options.endedConnections.record({ reason: 'process end', progress });
+    });
     [...this.callers.keys(), ...this.connecting].forEach((caller) => caller.destroy());
   }
 }
@@ -130,15 +153,25 @@
   });
 }
 
-/**
- * Passes on everything between a caller and the entry that serves it. The returned function leaves the
- * caller's connection paused and open, and closes the other one.
- */
-function joinSockets(caller: net.Socket, entry: net.Socket, answerTimeoutMs: number): () => void {
+/** Passes on everything between a caller and the entry that serves it. */
+function joinSockets(
+  caller: net.Socket,
+  entry: net.Socket,
+  { answerTimeoutMs, onInterruption }: JoinOptions,
+): JoinedSockets {
   let answerTimer: NodeJS.Timeout | undefined;
   let isAnswered = false;
+  let isEnded = false;
+  let endReason: EndReason = 'relay target lost';
+  const progressOf = (): RequestProgress | undefined => {
+    if (isEnded || caller.bytesRead === 0) return undefined;
+    return isAnswered ? 'half answered' : 'passed on';
+  };
   const onRequest = async () => {
-    answerTimer = setTimeout(() => entry.destroy(), answerTimeoutMs);
+    answerTimer = setTimeout(() => {
+      endReason = 'relay timeout';
+      entry.destroy();
+    }, answerTimeoutMs);
     // The request waits in the socket's buffer until a poll has shown whether the caller has left.
     entry.cork();
     await afterPoll();
@@ -153,12 +186,16 @@
   forwardData(entry, caller);
   const cancel = () => {
     clearTimeout(answerTimer);
+    isEnded = true;
     entry.resetAndDestroy();
   };
   caller.on('end', cancel);
   caller.on('close', cancel);
   const closeCaller = (hadError: boolean) => {
     clearTimeout(answerTimer);
+    const progress = progressOf();
+    if (progress && (hadError || !isAnswered)) onInterruption(endReason, progress);
+    isEnded = true;
     if (!isAnswered && caller.bytesRead > 0) caller.write(FAILED_ANSWER);
     // Without a length or chunks, an orderly end would make an interrupted answer look complete.
     if (isAnswered && hadError) caller.resetAndDestroy();
@@ -169,12 +206,17 @@
   entry.on('end', onEntryEnd);
   entry.on('close', closeCaller);
   caller.resume();
-  return () => {
-    caller.pause();
-    stopForwarding();
-    caller.off('data', onRequest).off('end', cancel).off('close', cancel);
-    entry.off('end', onEntryEnd).off('close', closeCaller);
-    entry.destroy();
+  return {
+    get progress() {
+      return progressOf();
+    },
+    detach() {
+      caller.pause();
+      stopForwarding();
+      caller.off('data', onRequest).off('end', cancel).off('close', cancel);
+      entry.off('end', onEntryEnd).off('close', closeCaller);
+      entry.destroy();
+    },
   };
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import type { Quarantine } from '@marjorampin/quarantine';
@@ -17,12 +17,13 @@
 import { afterPoll } from './afterPoll';
 import { abortAnswer } from './answerRelay';
 import { CallForwarder } from './callForwarder';
-import { type CallerRequest, readCallerBody } from './callerRequest';
+import { BodyOverdue, type CallerRequest, readCallerBody } from './callerRequest';
 import { CallerServer, type ConnectionSharing } from './callerServer';
 import { CallInput } from './callInput';
 import { CallTrace } from './callTrace';
 import { trackCaller } from './callerSignal';
 import type { HeaderCodec } from './headerCodec';
+import { EndedConnections, type EndReason, type ServedRequest } from './endedConnections';
 import { EndpointAttempts } from './endpointAttempts';
 import { EndpointChoice } from './endpointChoice';
 import { type EndpointCrash, EndpointCrashes } from './endpointCrashes';
@@ -85,14 +86,6 @@
   sharing?: ConnectionSharing | undefined;
 }
 
-/** A request with the data for its log entry. */
-interface ServedRequest {
-  requestId: string | undefined;
-  response: http.ServerResponse;
-  trace: CallTrace;
-  arrivedAtMs: number;
-}
-
 /** Forwards callers' requests to endpoints and answers them. */
 export class Gateway {
   private readonly options: GatewayOptions;
@@ -119,8 +112,13 @@
 
   private readonly stopPlan = new StopPlan();
 
-  /** Responses of the requests that are not answered yet. */
-  private readonly openResponses = new Set<http.ServerResponse>();
+  private readonly endedConnections: EndedConnections;
+
+  /** Requests that are not answered yet, by their responses. */
+  private readonly openRequests = new Map<http.ServerResponse, ServedRequest>();
+
+  /** Connections on which a request has arrived. */
+  private readonly usedConnections = new WeakSet<Socket>();
 
   private lastAcceptedAtMs = 0;
 
@@ -129,7 +127,7 @@
     const { clock, domain, headerCodec, log, metrics, turns, permits, quarantine } = options;
     this.load = new EventLoopLoad({ sample: () => options.loopTimes() });
     this.saturation = new Saturation({
-      onStart: () => log.write('entrySaturated', { active: this.openResponses.size }),
+      onStart: () => log.write('entrySaturated', { active: this.openRequests.size }),
       onEnd: ({ durationMs, calls, abandoned }) =>
         log.write('saturationEnded', { durationMs: Math.round(durationMs), calls, abandoned }),
     });
@@ -154,6 +152,9 @@
     this.calls = new CallForwarder({ attempts, headerCodec });
     this.turns = new TurnForwarder({ attempts, headerCodec, turns });
     const { address, readyAddress, sharing } = options;
+    const { stopPlan } = this;
+    const version = () => this.configurationVersion;
+    this.endedConnections = new EndedConnections({ log, metrics, clock, stopPlan, version });
     this.server = new CallerServer({
       address,
       readyAddress,
@@ -163,7 +164,8 @@
       sharing,
       serve: (message, response) => this.serve(message, response),
       isReady: () => this.isReady,
-      version: () => this.configurationVersion,
+      endedConnections: this.endedConnections,
+      version,
       longestTimeoutMs: () => this.table?.longestTimeoutMs ?? 0,
     });
     this.registerGauges();
@@ -214,7 +216,7 @@
 
   /** Number of requests that are not answered yet, with the connections relayed to other entries. */
   get activeRequests(): number {
-    return this.openResponses.size + this.server.relayedConnections;
+    return this.openRequests.size + this.server.relayedConnections;
   }
 
   /** Milliseconds since the last request was accepted. */
@@ -225,14 +227,17 @@
   /** Reports this entry as not ready, closes each open connection after its next answer, and refuses
    * requests that may not end before `endsAtMs`, the clock time at which the process ends. */
   beginStop(endsAtMs: number): void {
-    this.stopPlan.begin(endsAtMs);
+    this.stopPlan.begin(this.options.clock.now(), endsAtMs);
     this.server.beginStop();
-    this.openResponses.forEach(closeAfter);
+    this.openRequests.forEach(({ response }) => closeAfter(response));
   }
 
   /** Stops listening and closes all connections. */
   async close(): Promise<void> {
     this.lag.stop();
+    this.openRequests.forEach((served) => {
+      if (!served.response.destroyed) this.endedConnections.recordRequest(served, 'process end');
+    });
     await this.server.close();
   }
 
@@ -248,7 +253,7 @@
 
   private registerGauges(): void {
     const { metrics } = this.options;
-    metrics.gauge('gateway_active_requests', 'requests under way', () => this.openResponses.size);
+    metrics.gauge('gateway_active_requests', 'requests under way', () => this.openRequests.size);
     metrics.gauge('gateway_loop_lag_ms', 'smoothed lag of the event loop', () => this.lag.ms);
     metrics.gauge(
       'gateway_loop_utilization',
@@ -273,22 +278,25 @@
   private async serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { clock, metrics, headerCodec } = this.options;
     const requestId = headerCodec.requestIdOf(message.rawHeaders);
-    this.openResponses.add(response);
+    const { socket } = message;
+    const isKept = this.usedConnections.has(socket);
+    this.usedConnections.add(socket);
     this.saturation.countCall();
-    if (this.stopPlan.isStopping || this.server.closesAfter(message.socket)) closeAfter(response);
+    if (this.stopPlan.isStopping || this.server.closesAfter(socket)) closeAfter(response);
     const arrivedAtMs = clock.now();
     const trace = new CallTrace();
-    const served = { requestId, response, trace, arrivedAtMs };
+    const served = { requestId, message, response, trace, arrivedAtMs, isKept };
+    this.openRequests.set(response, served);
     try {
       await this.handle(message, response, arrivedAtMs, trace);
       this.recordOutcome(served, 'answered');
     } catch (error) {
       const failure = toCallError(error);
       if (response.destroyed && !response.headersSent) this.countAbandoned(arrivedAtMs);
-      this.answerError(message, response, failure, requestId);
+      this.answerError(served, failure);
       this.recordOutcome(served, failure.kind, failure);
     } finally {
-      this.openResponses.delete(response);
+      this.openRequests.delete(response);
       metrics.observe('gateway_request', {}, clock.now() - arrivedAtMs);
     }
   }
@@ -409,13 +417,11 @@
     return unknownRoute(target);
   }
 
-  private answerError(
-    message: http.IncomingMessage,
-    response: http.ServerResponse,
-    error: CallError,
-    requestId: string | undefined,
-  ): void {
-    if (response.headersSent || error.kind === 'cancelled') {
+  private answerError(served: ServedRequest, error: CallError): void {
+    const { message, response, requestId } = served;
+    const reason = abortReasonOf(served, error);
+    if (reason) this.endedConnections.recordRequest(served, reason);
+    if (isAborted(served, error)) {
       abortAnswer(message, response);
       return;
     }
@@ -454,6 +460,20 @@
   }
 }
 
+/** Whether a failed request ends its connection instead of being answered. */
+function isAborted({ response }: ServedRequest, { kind }: CallError): boolean {
+  return response.headersSent || kind === 'cancelled';
+}
+
+/** Returns why this process ends the connection of a failed request; undefined if it doesn't, or if the
+ * caller has ended it. */
+function abortReasonOf(served: ServedRequest, error: CallError): EndReason | undefined {
+  const { message, response } = served;
+  if (message.errored instanceof BodyOverdue) return 'body overdue';
+  const hasCallerLeft = response.destroyed || message.socket.readableEnded;
+  return isAborted(served, error) && !hasCallerLeft ? 'answer interrupted' : undefined;
+}
+
 /** Closes the connection after an answer whose headers have not been sent yet. */
 function closeAfter(response: http.ServerResponse): void {
   response.shouldKeepAlive = false;
--- a/packages/gateway/src/stopPlan.ts
+++ b/packages/gateway/src/stopPlan.ts
@@ -8,13 +8,21 @@
  * refused before any endpoint gets it, so that the caller can send it to another entry.
  */
 export class StopPlan {
+  private beganAtMs = Infinity;
+
   private endsAtMs = Infinity;
 
-  /** Sets the clock time at which the process ends, in milliseconds. */
-  begin(endsAtMs: number): void {
+  /** Sets the clock times at which the stop begins and the process ends, in milliseconds. */
+  begin(nowMs: number, endsAtMs: number): void {
+    this.beganAtMs = nowMs;
     this.endsAtMs = endsAtMs;
   }
 
+  /** Returns the milliseconds since the stop began; undefined if the process isn't stopping. */
+  elapsedMs(nowMs: number): number | undefined {
+    return this.isStopping ? nowMs - this.beganAtMs : undefined;
+  }
+
   /** Whether the process is stopping. */
   get isStopping(): boolean {
     return this.endsAtMs !== Infinity;
--- a/packages/logging/src/__tests__/volume.test.ts
+++ b/packages/logging/src/__tests__/volume.test.ts
@@ -52,6 +52,16 @@
   );
 });
 
+(['processExited', 'processFailed'] as const).forEach((event) => {
+  test(`log volume: the rate limit drops the last line of a process (${event})`, () => {
+    const target = new MemoryEventLog();
+    const log = new SampledEventLog({ target, now: () => 0 });
+    createRequestIds(900).forEach((request) => log.write('requestFailed', { request }));
+    log.write(event, { reason: 'x' });
+    assert.deepEqual(target.events.at(-1), { event, fields: { reason: 'x' } });
+  });
+});
+
 test('log volume: a stalled target neither blocks writers nor lets the buffer exceed its bound', () => {
   const target = createStalledTarget();
   const buffer = new LineBuffer({ target });
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -37,6 +37,30 @@
     message: 'process stopped',
     remedy: 'None needed.',
   },
+  processExited: {
+    number: 104,
+    level: 'info',
+    message: 'the process ends as planned',
+    remedy: 'None needed.',
+  },
+  processFailed: {
+    number: 105,
+    level: 'error',
+    message: 'the process ends because of an error that nothing handled',
+    remedy: 'Report `error` and `stack`; the platform starts the process again.',
+  },
+  processReady: {
+    number: 106,
+    level: 'info',
+    message: 'the process serves for the first time since its start',
+    remedy: 'None needed; compare `sinceStartMs` between hosts if it is long.',
+  },
+  memoryPeakReached: {
+    number: 107,
+    level: 'info',
+    message: 'the process uses more memory than ever before',
+    remedy: 'Compare `peakMb` with the limit of the host if this repeats.',
+  },
   memberRemoved: {
     number: 200,
     level: 'warn',
@@ -359,6 +383,13 @@
     message: 'a connection could not be relayed to another entry and is served by this one',
     remedy: 'Check the host of the entry if this repeats.',
   },
+  connectionEnded: {
+    number: 819,
+    level: 'warn',
+    message: 'this process ended a connection whose request was not answered whole',
+    remedy:
+      'Look up `request` in events 802 and 804; `state` is how far it had come, `stopMs` the time since a stop began.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/logging/src/sampledEventLog.ts
+++ b/packages/logging/src/sampledEventLog.ts
@@ -7,6 +7,12 @@
 const MAXIMUM_LINES_PER_SECOND = 200;
 const SECOND_MS = 1_000;
 
+/** Written above the rate limit, too: the last line of a process is the one that explains its end. */
+const UNLIMITED_EVENTS: ReadonlySet<EventName> = new Set<EventName>([
+  'processExited',
+  'processFailed',
+]);
+
 const SAMPLED_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['requestAnswered']);
 
 /** Bounds the volume of a log: samples routine successes and limits the rate of all lines. */
@@ -30,6 +36,10 @@
   override write(event: EventName, fields: EventFields = {}): void {
     if (SAMPLED_EVENTS.has(event) && !isSampled(String(fields.request ?? ''))) return;
     this.startWindowIfDue();
+    if (UNLIMITED_EVENTS.has(event)) {
+      this.target.write(event, fields);
+      return;
+    }
     if (this.written >= MAXIMUM_LINES_PER_SECOND) {
       this.dropped += 1;
       return;
