A request waits for the answers to earlier ones of its connection

What callers saw: of two requests sent at once on one connection, the second was passed on and its connection closed without its answer, if the first one was broken off by its endpoint, or was answered with `Connection: close` (during a stop, after the lifetime of a placement, while an entry lags). On a relayed connection the second was never answered, even in calm.

Cause: requests of one connection were handled side by side, and each answer decided about its connection as if it were alone.

Fix: a request is read at once, but passed on only after the answers to the earlier ones; answers have that order anyway. A connection closes with the answer to the last request that has arrived. So a request whose connection ends with an earlier one has not been passed on. The deadline still counts from the arrival.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { CallerLimits } from '@marjorampin/routing';
 import type { Clock, PeerAddress } from '@marjorampin/types';
+import type { CallerConnections } from './callerConnections';
 import type { EndedConnections } from './endedConnections';
 import { ConnectionRelay, relayGreeting, type RelayTarget } from './connectionRelay';
 
@@ -47,6 +48,7 @@
   log: EventLog;
   metrics: Metrics;
   clock: Clock;
+  connections: CallerConnections;
   endedConnections: EndedConnections;
   /** Absent if this entry serves all its callers by itself. */
   sharing?: ConnectionSharing | undefined;
@@ -72,9 +74,6 @@
   /** Callers' connections that this entry accepted itself and serves. */
   private readonly ownConnections = new WeakSet<Socket>();
 
-  /** Relayed connections on which a request has arrived. */
-  private readonly usedRelays = new WeakSet<Socket>();
-
   /** Time at which each connection that this entry serves was opened. */
   private readonly openedAtMs = new WeakMap<Socket, number>();
 
@@ -93,9 +92,7 @@
         requestTimeout: 0,
         noDelay: true,
       },
-      (message, response) => {
-        if (this.isServable(message.socket)) options.serve(message, response);
-      },
+      (message, response) => options.serve(message, response),
     );
     this.server.on('connection', (socket) => {
       options.metrics.count('gateway_connections_total');
@@ -190,18 +187,6 @@
     return this.options.sharing !== undefined && !this.ownConnections.has(socket);
   }
 
-  /** A second request on a relayed connection would be cut when the connection closes. */
-  private isServable(socket: Socket): boolean {
-    if (!this.isRelayed(socket)) return true;
-    if (this.usedRelays.has(socket)) {
-      const reason = 'one request on a relayed connection';
-      this.options.endedConnections.record({ reason, progress: 'unread', isKept: true });
-      return false;
-    }
-    this.usedRelays.add(socket);
-    return true;
-  }
-
   private async placeConnection(socket: Socket, sharing: ConnectionSharing): Promise<void> {
     this.accepted += 1;
     const target = this.isStopping ? undefined : sharing.place();
--- a/packages/gateway/src/endedConnections.ts
+++ b/packages/gateway/src/endedConnections.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { Clock } from '@marjorampin/types';
 import type { CallTrace } from './callTrace';
+import type { OrderedRequest } from './callerConnections';
 import type { StopPlan } from './stopPlan';
 
 /** How far a request had come when its connection was ended. */
@@ -12,7 +13,7 @@
 export type EndReason =
   | 'answer interrupted'
   | 'body overdue'
-  | 'one request on a relayed connection'
+  | 'earlier request'
   | 'process end'
   | 'relay target lost'
   | 'relay timeout';
@@ -24,8 +25,7 @@
   response: http.ServerResponse;
   trace: CallTrace;
   arrivedAtMs: number;
-  /** Whether an earlier request came on the same connection. */
-  isKept: boolean;
+  order: OrderedRequest;
 }
 
 /** What is logged of a connection that is ended. */
@@ -73,19 +73,17 @@
 
   /** Logs the end of the connection of a request that this process handles. */
   recordRequest(served: ServedRequest, reason: EndReason): void {
-    const { requestId: request, isKept, arrivedAtMs } = served;
+    const { requestId: request, order, arrivedAtMs } = served;
+    const { isKept } = order;
     const ms = this.options.clock.now() - arrivedAtMs;
     this.record({ reason, progress: progressOf(served), request, isKept, ms });
   }
 }
 
 /** Returns how far the handling of a request has come. */
-export function progressOf({
-  message,
-  response,
-  trace,
-}: Pick<ServedRequest, 'message' | 'response' | 'trace'>): RequestProgress {
+function progressOf({ message, response, trace, order }: ServedRequest): RequestProgress {
   if (response.headersSent) return 'half answered';
   if (trace.sendCount > 0) return 'passed on';
+  if (order.earlier && !order.earlier.response.writableFinished) return 'unread';
   return message.complete ? 'read' : 'reading';
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import type { Quarantine } from '@marjorampin/quarantine';
@@ -18,6 +18,7 @@
 import { abortAnswer } from './answerRelay';
 import { CallForwarder } from './callForwarder';
 import { BodyOverdue, type CallerRequest, readCallerBody } from './callerRequest';
+import { CallerConnections } from './callerConnections';
 import { CallerServer, type ConnectionSharing } from './callerServer';
 import { CallInput } from './callInput';
 import { CallTrace } from './callTrace';
@@ -117,8 +118,7 @@
   /** Requests that are not answered yet, by their responses. */
   private readonly openRequests = new Map<http.ServerResponse, ServedRequest>();
 
-  /** Connections on which a request has arrived. */
-  private readonly usedConnections = new WeakSet<Socket>();
+  private readonly connections = new CallerConnections();
 
   private lastAcceptedAtMs = 0;
 
@@ -164,6 +164,7 @@
       sharing,
       serve: (message, response) => this.serve(message, response),
       isReady: () => this.isReady,
+      connections: this.connections,
       endedConnections: this.endedConnections,
       version,
       longestTimeoutMs: () => this.table?.longestTimeoutMs ?? 0,
@@ -229,7 +230,7 @@
   beginStop(endsAtMs: number): void {
     this.stopPlan.begin(this.options.clock.now(), endsAtMs);
     this.server.beginStop();
-    this.openRequests.forEach(({ response }) => closeAfter(response));
+    this.openRequests.forEach(({ message }) => this.connections.closeAfterLast(message.socket));
   }
 
   /** Stops listening and closes all connections. */
@@ -279,16 +280,17 @@
     const { clock, metrics, headerCodec } = this.options;
     const requestId = headerCodec.requestIdOf(message.rawHeaders);
     const { socket } = message;
-    const isKept = this.usedConnections.has(socket);
-    this.usedConnections.add(socket);
+    const order = this.connections.add(socket, response);
     this.saturation.countCall();
-    if (this.stopPlan.isStopping || this.server.closesAfter(socket)) closeAfter(response);
+    if (this.stopPlan.isStopping || this.server.closesAfter(socket)) {
+      this.connections.closeAfterLast(socket);
+    }
     const arrivedAtMs = clock.now();
     const trace = new CallTrace();
-    const served = { requestId, message, response, trace, arrivedAtMs, isKept };
+    const served = { requestId, message, response, trace, arrivedAtMs, order };
     this.openRequests.set(response, served);
     try {
-      await this.handle(message, response, arrivedAtMs, trace);
+      await this.handle(served);
       this.recordOutcome(served, 'answered');
     } catch (error) {
       const failure = toCallError(error);
@@ -297,22 +299,19 @@
       this.recordOutcome(served, failure.kind, failure);
     } finally {
       this.openRequests.delete(response);
+      CallerConnections.release(order);
       metrics.observe('gateway_request', {}, clock.now() - arrivedAtMs);
     }
   }
 
-  private async handle(
-    message: http.IncomingMessage,
-    response: http.ServerResponse,
-    arrivedAtMs: number,
-    trace: CallTrace,
-  ): Promise<void> {
+  private async handle(served: ServedRequest): Promise<void> {
+    const { message, response, arrivedAtMs, trace, order } = served;
     const { headerCodec, clock } = this.options;
     const { table } = this;
     if (!table) throw notConfigured();
     if (Math.random() < this.lag.shedShare) {
       // Closing the connection makes the caller reconnect, possibly to another entry.
-      closeAfter(response);
+      this.connections.closeAfterLast(message.socket);
       throw entryLagging(this.lag.ms);
     }
     const { limits } = table.configuration;
@@ -332,6 +331,7 @@
     try {
       const { signal } = caller;
       const body = await readCallerBody(message, limits, signal);
+      if (order.earlier) await CallerConnections.waitForEarlier(order, signal);
       // The stop may have begun meanwhile.
       this.refuseIfStopping(deadlineMs);
       const isBehind = this.lag.isBehind || this.load.utilization > BACKLOG_UTILIZATION;
@@ -427,7 +427,7 @@
     }
     const body = Buffer.from(`${error.message}\n`);
     // The unread rest of the body would be parsed as the next request.
-    if (!message.complete) closeAfter(response);
+    if (!message.complete) response.shouldKeepAlive = false;
     const headers = this.options.headerCodec.writeError(error, requestId);
     response.writeHead(error.status, [
       ...headers,
@@ -470,13 +470,11 @@
 function abortReasonOf(served: ServedRequest, error: CallError): EndReason | undefined {
   const { message, response } = served;
   if (message.errored instanceof BodyOverdue) return 'body overdue';
-  const hasCallerLeft = response.destroyed || message.socket.readableEnded;
-  return isAborted(served, error) && !hasCallerLeft ? 'answer interrupted' : undefined;
-}
-
-/** Closes the connection after an answer whose headers have not been sent yet. */
-function closeAfter(response: http.ServerResponse): void {
-  response.shouldKeepAlive = false;
+  const { socket } = message;
+  if (!isAborted(served, error) || socket.readableEnded || socket.errored) return undefined;
+  const { earlier } = served.order;
+  if (earlier && !earlier.response.writableFinished) return 'earlier request';
+  return response.destroyed ? undefined : 'answer interrupted';
 }
 
 /** Throws if the caller has left while its request waited unread: the end of its connection comes after
