Invalid bytes after a whole request don't cut its answer

What callers saw: bytes that are no request (or a head that is too long, or is not completed within the header timeout, or CONNECT) that follow a whole request on its connection were answered with 400, 431 or 408 before or within the answer to that request, and the connection was closed. The request had been passed on.

Cause: `rejectMalformed` wrote its answer to the connection without regard to answers that were due. Node.js closes the connection of a CONNECT request by itself if nobody listens for it.

Fix: a connection on which an answer is due ends after its last answer, and gets none for the rest. A caller that ends its connection within a further request still cancels the ones before it.

--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -18,6 +18,8 @@
   last: OrderedRequest;
   /** Whether the connection closes after the last answer. */
   isClosing: boolean;
+  /** Whether it closes then even if the headers of that answer were sent before. */
+  isEnding: boolean;
 }
 
 /**
@@ -34,7 +36,7 @@
     const connection = this.connections.get(socket);
     if (!connection) {
       const first: OrderedRequest = { response, isKept: false, earlier: undefined };
-      this.connections.set(socket, { last: first, isClosing: false });
+      this.connections.set(socket, { last: first, isClosing: false, isEnding: false });
       return first;
     }
     const { last } = connection;
@@ -57,6 +59,28 @@
     connection.last.response.shouldKeepAlive = false;
   }
 
+  /** Returns whether a request of a connection has not been answered whole. */
+  isAnswerDue(socket: Socket): boolean {
+    const connection = this.connections.get(socket);
+    return connection !== undefined && !connection.last.response.writableFinished;
+  }
+
+  /** Returns whether `endAfterLast` has been called for a connection. */
+  isEnding(socket: Socket): boolean {
+    return this.connections.get(socket)?.isEnding ?? false;
+  }
+
+  /** Ends a connection on which no further request can be read after its last answer. Returns false if
+   * no answer is due. */
+  endAfterLast(socket: Socket): boolean {
+    const connection = this.connections.get(socket);
+    if (!connection || !this.isAnswerDue(socket)) return false;
+    connection.isEnding = true;
+    this.closeAfterLast(socket);
+    connection.last.response.once('close', () => socket.destroySoon());
+    return true;
+  }
+
   /** Resolves once all earlier requests of the connection are answered, or `signal` aborts. Throws
    * `cancelled` if the connection ends before the answer to this request. */
   static async waitForEarlier({ earlier }: OrderedRequest, signal: AbortSignal): Promise<void> {
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -100,6 +100,7 @@
       if (this.isRelayed(socket)) socket.write(relayGreeting(options.version()));
     });
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket as Socket));
+    this.server.on('connect', (_, socket) => this.rejectConnect(socket as Socket));
     this.applyLimits(INITIAL_LIMITS);
     const { log, metrics, endedConnections, sharing, version, longestTimeoutMs } = options;
     this.relay = new ConnectionRelay({
@@ -206,16 +207,29 @@
   }
 
   private rejectMalformed(error: Error & { code?: string }, socket: Socket): void {
-    const { log, metrics } = this.options;
+    const { log, metrics, connections } = this.options;
     metrics.count('gateway_malformed_total', { code: error.code ?? 'unknown' });
-    if (!socket.writable || error.code === 'ECONNRESET' || socket.bytesRead === 0) {
+    const hasLeft = error.code === 'ECONNRESET' || socket.bytesRead === 0;
+    // The end of a connection within a request cancels the ones before it.
+    const isCancelled = socket.readableEnded && connections.isAnswerDue(socket);
+    if (!socket.writable || hasLeft || isCancelled) {
       socket.destroy();
       return;
     }
+    if (connections.isEnding(socket)) return;
     log.write('requestMalformed', { code: error.code, reason: error.message });
+    // The answers to earlier requests come first, and an answer of its own would be taken for one.
+    if (connections.endAfterLast(socket)) return;
     const status = MALFORMED_STATUS[error.code ?? ''] ?? '400 Bad Request';
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
+
+  /** Node.js hands over the connection of such a request, and closes it if nobody takes it. */
+  private rejectConnect(socket: Socket): void {
+    socket.on('error', () => undefined).on('end', () => socket.destroy());
+    socket.resume();
+    this.rejectMalformed(new Error('CONNECT is not supported; send a request'), socket);
+  }
 }
 
 async function listen(server: net.Server, { host, port }: PeerAddress): Promise<void> {
