A refused request keeps its answer while its body is still being sent

What callers saw: a stopping entry refuses requests before their bodies are read.

Cause: the connection was closed right after the answer, with unread bytes, which resets it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { trackCaller } from './callerSignal';
 import type { HeaderCodec } from './headerCodec';
 import { EndedConnections, type EndReason, type ServedRequest } from './endedConnections';
+import { endUnread } from './endUnread';
 import { EndpointAttempts } from './endpointAttempts';
 import { EndpointChoice } from './endpointChoice';
 import { type EndpointCrash, EndpointCrashes } from './endpointCrashes';
@@ -436,7 +437,8 @@
       'Content-Length',
       `${body.length}`,
     ]);
-    response.end(body);
+    if (message.complete) response.end(body);
+    else endUnread(message, response, body);
   }
 
   private recordOutcome(
