An answer that the end of a process cuts never looks whole

What callers saw: an entry that ends while it sends an answer closed the connection in order. For a caller of HTTP/1.0, whose answers end with their connection, the first part was a whole answer.

Fix: `Gateway.close` breaks such answers off as all other interruptions do (`abortAnswer`), with a reset.

Test: endedConnections.test.ts, "looks whole": the case of HTTP/1.0 fails on the commit before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -238,7 +238,10 @@
   async close(): Promise<void> {
     this.lag.stop();
     this.openRequests.forEach((served) => {
-      if (!served.response.destroyed) this.endedConnections.recordRequest(served, 'process end');
+      const { message, response } = served;
+      if (response.destroyed) return;
+      this.endedConnections.recordRequest(served, 'process end');
+      if (response.headersSent) abortAnswer(message, response);
     });
     await this.server.close();
   }
