Soak of real processes in which nothing but planned work happens

It checks that no request ends without a whole answer once an endpoint ran it, or later than 200 ms after it was sent, before its route's timeout; that no continued turn is answered 404 or 410; that nothing runs twice; that no process fails (event 105); and that every completed turn can be continued at the end.

--- a/soak/src/__tests__/soakRecord.test.ts
+++ b/soak/src/__tests__/soakRecord.test.ts
@@ -9,7 +9,7 @@
     apply: (record) => {
       record.recordRequest('a', 'non-idempotent', 'x');
       record.recordExecution('a', 'GET', 'x');
-      record.recordOutcome('a', 200);
+      record.recordOutcome('a', { status: 200 });
     },
     violations: [],
   },
@@ -19,7 +19,7 @@
       record.recordRequest('a', 'idempotent', '');
       record.recordExecution('a', 'GET', '');
       record.recordExecution('a', 'GET', '');
-      record.recordOutcome('a', 503);
+      record.recordOutcome('a', { status: 503 });
     },
     violations: [],
   },
@@ -50,7 +50,7 @@
     apply: (record) => {
       record.recordRequest('a', 'turn', '');
       record.recordExecution('a', 'POST', '');
-      record.recordOutcome('a', 503);
+      record.recordOutcome('a', { status: 503 });
     },
     violations: ['REFUSED'],
   },
@@ -58,7 +58,7 @@
     name: 'a call that runs after its refusal is reported',
     apply: (record) => {
       record.recordRequest('a', 'turn', '');
-      record.recordOutcome('a', 402);
+      record.recordOutcome('a', { status: 402 });
       record.recordExecution('a', 'POST', '');
     },
     violations: ['REFUSED'],
@@ -73,6 +73,26 @@
   },
 ];
 
+const LOSSES = [
+  { name: 'a request that was not read', ran: false, sinceSentMs: 100, violations: [] },
+  { name: 'a request that was read', ran: false, sinceSentMs: 300, violations: ['LOST'] },
+  { name: 'a request that was passed on', ran: true, sinceSentMs: 100, violations: ['LOST'] },
+  { name: 'a request beyond its time', ran: true, sinceSentMs: 4_000, violations: [] },
+];
+
+LOSSES.forEach(({ name, ran, sinceSentMs, violations }) => {
+  test(`soak record: no answer during planned work (${name})`, () => {
+    const record = new SoakRecord({ answerTimeoutMs: 4_000 });
+    record.recordRequest('a', 'idempotent', '');
+    if (ran) record.recordExecution('a', 'GET', '');
+    record.recordOutcome('a', { status: 'broken', sinceSentMs });
+    assert.deepEqual(
+      record.violations.map((text) => text.split(':')[0]),
+      violations,
+    );
+  });
+});
+
 CASES.forEach(({ name, apply, violations }) => {
   test(`soak record: ${name}`, () => {
     const record = new SoakRecord();
--- a/soak/src/endpointStandin.ts
+++ b/soak/src/endpointStandin.ts
@@ -8,11 +8,17 @@
 /** Events in a turn's stream, and the tokens that each event counts as. */
 export const EVENTS_PER_TURN = 4;
 export const TOKENS_PER_EVENT = 5;
-const EVENT_INTERVAL_MS = 6;
-const TOOL_DURATION_MS = 10;
+/** Duration of a request whose path states none. */
+const DEFAULT_DURATION_MS = 24;
 
 const clock = new SystemClock();
 
+/** Returns the milliseconds that a request takes: the last part of its path, if that is a number. */
+function durationOf(path = ''): number {
+  const durationMs = Number(path.split('/').at(-1));
+  return Number.isNaN(durationMs) ? DEFAULT_DURATION_MS : durationMs;
+}
+
 /** Returns the data of one event. It names the request, which reveals misdelivered events. */
 export function eventData(request: string, index: number): string {
   return `${request} event ${index}`;
@@ -71,18 +77,24 @@
       response.destroy();
       return;
     }
-    if (request.url?.startsWith('/turn/')) await this.stream(id, headers, response);
+    const durationMs = durationOf(request.url);
+    if (request.url?.startsWith('/turn/')) await this.stream(id, headers, response, durationMs);
     else {
-      await clock.sleep(TOOL_DURATION_MS);
+      await clock.sleep(durationMs);
       response.writeHead(200, headers).end(`done ${id}`);
     }
   }
 
-  private async stream(id: string, headers: object, response: http.ServerResponse) {
+  private async stream(
+    id: string,
+    headers: object,
+    response: http.ServerResponse,
+    durationMs: number,
+  ) {
     const isCut = this.mode === 'cutting' && this.beginUnframed(response);
     response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
     for (let index = 0; index < EVENTS_PER_TURN; index += 1) {
-      await clock.sleep(EVENT_INTERVAL_MS);
+      await clock.sleep(durationMs / EVENTS_PER_TURN);
       if (this.mode === 'failing') response.destroy();
       if (response.destroyed) return;
       const event = `id: ${index}\ndata: ${eventData(id, index)}\n\n`;
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -5,6 +5,7 @@
 import { writeFileSync } from 'node:fs';
 import { constants } from 'node:os';
 import { cac } from 'cac';
+import { runPlannedSoak } from './runPlannedSoak';
 import { runSoak } from './runSoak';
 
 /** Second octet of the first job's loopback addresses. */
@@ -24,8 +25,9 @@
   .option('--seeds <count>', 'Number of seeds', { default: 1 })
   .option('--jobs <count>', 'Number of soaks in parallel', { default: 1 })
   .option('--seconds <count>', 'Seconds of faults', { default: 20 })
+  .option('--planned', 'Do planned work only, and check that no request loses its answer')
   .option('--log <folder>', 'Folder for the output of each soak, as SEED.log')
-  .action(async ({ first, seeds, jobs, seconds, log }) => {
+  .action(async ({ first, seeds, jobs, seconds, planned, log }) => {
     const remainingSeeds = Array.from(
       { length: Number(seeds) },
       (_, index) => Number(first) + index,
@@ -34,7 +36,8 @@
     const runSoaks = async (network: number) => {
       for (let seed = remainingSeeds.shift(); seed !== undefined; seed = remainingSeeds.shift()) {
         const lines: string[] = [];
-        const result = await runSoak({
+        const run = planned ? runPlannedSoak : runSoak;
+        const result = await run({
           seed: String(seed),
           durationMs: Number(seconds) * 1_000,
           network,
--- a/soak/src/runSoak.ts
+++ b/soak/src/runSoak.ts
@@ -85,7 +85,7 @@
 }
 
 /** Runs programs one after the other until one succeeds; false when the time limit passes first. */
-async function waitUntilServed(caller: SoakCaller, limitMs: number): Promise<boolean> {
+export async function waitUntilServed(caller: SoakCaller, limitMs: number): Promise<boolean> {
   const until = performance.now() + limitMs;
   while (performance.now() < until) {
     if (await caller.runProgram()) return true;
@@ -106,7 +106,10 @@
 }
 
 /** Checks that every completed turn can still be continued. */
-async function continueCompletedTurns(caller: SoakCaller, record: SoakRecord): Promise<void> {
+export async function continueCompletedTurns(
+  caller: SoakCaller,
+  record: SoakRecord,
+): Promise<void> {
   for (const turn of [...caller.completedTurns]) {
     if (!(await caller.continueTurn(turn))) {
       record.report(`LOST: turn ${turn.id} can't be continued after the faults`);
--- a/soak/src/soakCaller.ts
+++ b/soak/src/soakCaller.ts
@@ -4,12 +4,12 @@
 import { HEADERS } from '@marjorampin/platform';
 import type { RandomSource } from './soakEnvironment';
 import { EVENTS_PER_TURN, eventData, sealOf, TOKENS_PER_EVENT } from './endpointStandin';
-import type { SoakRecord } from './soakRecord';
+import type { RequestEnd, SoakRecord } from './soakRecord';
 
 const clock = new SystemClock();
 
 const TURN_TOKENS = EVENTS_PER_TURN * TOKENS_PER_EVENT;
-const DEADLINE_MS = 3_000;
+const DEFAULT_DEADLINE_MS = 3_000;
 /** Attempts of a turn or tool call; enough to outlast the longest fault of a soak. */
 const MAXIMUM_ATTEMPTS = 12;
 /** Limit on the requested retry delay, which makes callers retry more often during a fault. */
@@ -29,8 +29,7 @@
  * Response to a call. The status `broken` means that no response arrived or that its body is
  * incomplete; it isn't a violated guarantee, which `SoakResult.broken` lists.
  */
-interface CallOutcome {
-  status: number | 'broken';
+interface CallOutcome extends RequestEnd {
   body: string;
   seal: string | undefined;
   retryAfterMs: number;
@@ -51,6 +50,19 @@
   context: string;
 }
 
+/** Options of `SoakCaller`. */
+export interface SoakCallerOptions {
+  record: SoakRecord;
+  random: RandomSource;
+  /** Addresses at which callers reach the entries. */
+  entries: PeerAddress[];
+  deadlineMs?: number;
+  /** Returns how long endpoints work on the next request, as the last part of its path. */
+  nextDuration?: (() => string) | undefined;
+  /** Begins the ids of requests and programs; callers of one soak need different ones. */
+  prefix?: string;
+}
+
 /** Runs programs against entries and checks every response. */
 export class SoakCaller {
   readonly completedTurns: CompletedTurn[] = [];
@@ -62,14 +74,30 @@
   /** Addresses at which callers reach the entries. */
   private readonly entries: PeerAddress[];
 
+  private readonly deadlineMs: number;
+
+  private readonly nextDuration: () => string;
+
+  private readonly prefix: string;
+
   private readonly agent = new http.Agent({ keepAlive: true });
 
   private lastId = 0;
 
-  constructor(options: { record: SoakRecord; random: RandomSource; entries: PeerAddress[] }) {
-    this.record = options.record;
-    this.random = options.random;
-    this.entries = options.entries;
+  constructor({
+    record,
+    random,
+    entries,
+    deadlineMs = DEFAULT_DEADLINE_MS,
+    nextDuration = () => 'x',
+    prefix = '',
+  }: SoakCallerOptions) {
+    this.record = record;
+    this.random = random;
+    this.entries = entries;
+    this.deadlineMs = deadlineMs;
+    this.nextDuration = nextDuration;
+    this.prefix = prefix;
   }
 
   /** Runs one program of turns and tool calls; true when all of them succeeded. */
@@ -113,7 +141,7 @@
       this.record.recordRequest(id, 'turn', context);
       const outcome = await this.send({
         id,
-        path: '/turn/x',
+        path: `/turn/${this.nextDuration()}`,
         method: 'POST',
         body: input,
         headers: {
@@ -131,8 +159,9 @@
         this.completedTurns.push(turn);
         return turn;
       }
-      if (outcome.status === 404) this.record.report(`LOST: continuing ${previous?.id} got 404`);
-      if (outcome.status === 402 || outcome.status === 404) return undefined;
+      const isUnknown = outcome.status === 404 || outcome.status === 410;
+      if (isUnknown) this.record.report(`LOST: continuing ${previous?.id} got ${outcome.status}`);
+      if (outcome.status === 402 || isUnknown) return undefined;
       await clock.sleep(outcome.retryAfterMs);
     }
     return undefined;
@@ -156,7 +185,7 @@
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
       const id = this.nextId('c');
       this.record.recordRequest(id, isIdempotent ? 'idempotent' : 'non-idempotent', '');
-      const path = isIdempotent ? '/look/x' : '/book/x';
+      const path = `/${isIdempotent ? 'look' : 'book'}/${this.nextDuration()}`;
       const outcome = await this.send({ id, path, method: 'GET', body: '', headers: {} });
       if (outcome.status === 200) {
         const isValid = outcome.body === `done ${id}` && outcome.seal === sealOf(id);
@@ -172,7 +201,7 @@
 
   private async send(call: Call): Promise<CallOutcome> {
     const outcome = await this.exchange(call);
-    this.record.recordOutcome(call.id, outcome.status);
+    this.record.recordOutcome(call.id, outcome);
     return outcome;
   }
 
@@ -181,8 +210,15 @@
     return new Promise((resolve) => {
       let text = '';
       let seal: string | undefined;
+      let sentAtMs: number | undefined;
       const resolveBroken = () =>
-        resolve({ status: 'broken', body: text, seal, retryAfterMs: MAXIMUM_RETRY_DELAY_MS });
+        resolve({
+          status: 'broken',
+          sinceSentMs: sentAtMs && performance.now() - sentAtMs,
+          body: text,
+          seal,
+          retryAfterMs: MAXIMUM_RETRY_DELAY_MS,
+        });
       const request = http.request(
         {
           ...entry,
@@ -192,7 +228,7 @@
           headers: {
             Host: 'soak.example',
             [HEADERS.requestId]: id,
-            [HEADERS.deadline]: String(DEADLINE_MS),
+            [HEADERS.deadline]: String(this.deadlineMs),
             'Content-Length': String(Buffer.byteLength(body)),
             ...headers,
           },
@@ -218,7 +254,10 @@
           });
         },
       );
-      request.setTimeout(DEADLINE_MS, () => request.destroy());
+      request.setTimeout(this.deadlineMs, () => request.destroy());
+      request.on('finish', () => {
+        sentAtMs = performance.now();
+      });
       request.on('error', resolveBroken);
       request.on('close', resolveBroken);
       request.end(body);
@@ -227,6 +266,6 @@
 
   private nextId(kind: string): string {
     this.lastId += 1;
-    return `${kind}${this.lastId}`;
+    return `${this.prefix}${kind}${this.lastId}`;
   }
 }
--- a/soak/src/soakHosts.ts
+++ b/soak/src/soakHosts.ts
@@ -1,4 +1,5 @@
 import { type ChildProcess, execFileSync, spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -9,8 +10,7 @@
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const BUNDLE = join(ROOT, 'target/marjorampin.cjs');
-/** Bounds on a stop, on applying a configuration and on draining, as in the operators' settings. */
-const STOP_GRACE_S = 4;
+/** Bounds on applying a configuration and on draining, as in the operators' settings. */
 const CONFIGURATION_BOUND_MS = 2_000;
 const DRAIN_BOUND_MS = 2_000;
 /** Ports for traffic between the hosts' processes. */
@@ -51,9 +51,13 @@
 
   private readonly output: (line: string) => void;
 
-  constructor(hosts: SoakHost[], output: (line: string) => void) {
+  /** Bound on a stop in the settings that processes read at their next start. */
+  private graceS: number;
+
+  constructor(hosts: SoakHost[], output: (line: string) => void, graceS: number) {
     this.hosts = hosts;
     this.output = output;
+    this.graceS = graceS;
     // Leaves no process running when the soak is interrupted.
     process.once('exit', () => this.running.forEach((child) => child.kill('SIGKILL')));
   }
@@ -69,6 +73,28 @@
     this.running.get(name)?.kill(signal);
   }
 
+  /** Writes other settings for a host and tells its process. */
+  reload(host: SoakHost, graceS: number): void {
+    this.graceS = graceS;
+    this.writeSettings(host);
+    this.signal(host, 'SIGHUP');
+  }
+
+  /** Resolves once the present process of a host has ended. */
+  async nextExit({ name }: SoakHost): Promise<void> {
+    const child = this.running.get(name);
+    if (child) await once(child, 'exit');
+  }
+
+  /** Ends a host's process in order and deletes its data before the next one starts. */
+  replaceDisk(host: SoakHost): void {
+    const child = this.running.get(host.name);
+    child?.prependOnceListener('exit', () => {
+      rmSync(this.dataFolderOf(host), { recursive: true, force: true });
+    });
+    child?.kill('SIGTERM');
+  }
+
   /** Kills a host's process and deletes its data. */
   wipeDisk(host: SoakHost): void {
     const child = this.running.get(host.name);
@@ -105,7 +131,8 @@
     [child.stdout, child.stderr].forEach((stream) =>
       stream.on('data', (bytes: Buffer) => this.output(bytes.toString())),
     );
-    child.once('exit', () => {
+    child.once('exit', (code, signal) => {
+      this.output(`${host.name} exited with ${code ?? signal}\n`);
       this.running.delete(host.name);
       if (this.supervised.has(host.name)) this.run(host);
     });
@@ -136,7 +163,7 @@
 zones = 0
 regions = 0
 [bounds]
-graceS = ${STOP_GRACE_S}
+graceS = ${this.graceS}
 configMs = ${CONFIGURATION_BOUND_MS}
 drainMs = ${DRAIN_BOUND_MS}
 [platform]
--- a/soak/src/soakRecord.ts
+++ b/soak/src/soakRecord.ts
@@ -1,5 +1,20 @@
+/** Time in which an entry may end a connection on which a request has arrived that it never read. */
+const LOSS_SLACK_MS = 200;
+
+/** How a request ended for its caller. */
+export interface RequestEnd {
+  /** Status of the answer; `broken` when it is incomplete or missing. */
+  status: number | 'broken';
+  /** Milliseconds since the whole request was sent; undefined if it was not. */
+  sinceSentMs?: number | undefined;
+}
+
 /** Records what callers and endpoints observe and reports violated guarantees. */
 export class SoakRecord {
+  /** Time by which an entry has to answer; set if nothing but planned work happens, so that each request
+   * that has been read needs a whole answer. */
+  private readonly answerTimeoutMs: number | undefined;
+
   /** Violated guarantees in the order of their detection. */
   readonly violations: string[] = [];
 
@@ -16,6 +31,10 @@
   /** Tokens delivered to callers, by program. */
   private readonly tokens = new Map<string, number>();
 
+  constructor({ answerTimeoutMs }: { answerTimeoutMs?: number } = {}) {
+    this.answerTimeoutMs = answerTimeoutMs;
+  }
+
   /** Records a request before it is sent, with the body that the endpoint has to receive. */
   recordRequest(id: string, kind: string, body: string): void {
     this.sent.set(id, { kind, body });
@@ -32,8 +51,9 @@
     if (this.refused.has(id)) this.report(`REFUSED: ${id} ran after its refusal`);
   }
 
-  /** Records the status that the caller received; `broken` when the response is incomplete. */
-  recordOutcome(id: string, status: number | 'broken'): void {
+  /** Records how a request ended for its caller. */
+  recordOutcome(id: string, { status, sinceSentMs = 0 }: RequestEnd): void {
+    if (status === 'broken') this.checkLoss(id, sinceSentMs);
     this.outcomes.set(String(status), (this.outcomes.get(String(status)) ?? 0) + 1);
     const isRefusal = status === 429 || status === 503 || status === 402;
     if (!isRefusal || this.sent.get(id)?.kind === 'idempotent') return;
@@ -41,6 +61,14 @@
     if (this.executions.has(id)) this.report(`REFUSED: ${id} was answered ${status} and had run`);
   }
 
+  private checkLoss(id: string, sinceSentMs: number): void {
+    if (this.answerTimeoutMs === undefined || sinceSentMs >= this.answerTimeoutMs) return;
+    const hasRun = this.executions.has(id);
+    if (!hasRun && sinceSentMs <= LOSS_SLACK_MS) return;
+    const progress = hasRun ? 'had been passed on' : 'had been read';
+    this.report(`LOST: ${id} ${progress} and got no answer for ${Math.round(sinceSentMs)} ms`);
+  }
+
   /** Records tokens that were delivered to a caller, with the limit of their program. */
   recordTokens(program: string, tokens: number, limit: number): void {
     const total = (this.tokens.get(program) ?? 0) + tokens;
