The answer to a turn that has run waits for its keepers as long as its caller does

Cause: the last event waits until a majority has stored the turn. The write was retried for 1 s only, whatever time the caller had. With two keepers left (one is retired), a restart of either takes longer; so do two late keepers of three, or the moment after a roster change in which keepers restore.

Fix: the write is retried until the caller's deadline. It can be repeated, as a keeper stores a turn by its id. A process that stops accepts only requests that end within its grace period, so the wait ends before the process.

--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -108,8 +108,10 @@
   /** Stores a completed turn, or only the tokens that it used if its route does not store turns. */
   private async finish(turn: OpenTurn, endpoint: Endpoint): Promise<void> {
     const { turns } = this.options;
-    if (turn.request.route.storesTurns) {
-      await turns.commit(createTurnRecord(turn, endpoint), turn.chain).catch(throwNotStored);
+    const { route, deadlineMs } = turn.request;
+    if (route.storesTurns) {
+      const options = { chain: turn.chain, deadlineMs };
+      await turns.commit(createTurnRecord(turn, endpoint), options).catch(throwNotStored);
       return;
     }
     // The answer doesn't wait for this: until it is stored, the larger reservation counts.
--- a/packages/turns/src/__tests__/budgetLifetimes.test.ts
+++ b/packages/turns/src/__tests__/budgetLifetimes.test.ts
@@ -159,7 +159,7 @@
   }
   const ancestors = chain.map((record) => record.turn);
   const fields = { program, turn, ancestors, outputTokens: TOKENS, retentionMs: RETENTION_MS };
-  await store.commit(create(TurnRecordSchema, fields), chain);
+  await store.commit(create(TurnRecordSchema, fields), { chain });
   return TOKENS;
 }
 
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -28,7 +28,7 @@
 const MAXIMUM_HEDGE_MS = 300;
 /** The delay is this multiple of the expected latency of the slowest keeper that is called first. */
 const HEDGE_FACTOR = 3;
-/** Time for which a request to a quorum is retried. */
+/** Shortest time for which a request to a quorum is retried. */
 const QUORUM_RETRY_TIMEOUT_MS = 1_000;
 /** Delay before each retry; after a roster change, keepers are not ready for about 10 ms. */
 const QUORUM_RETRY_DELAY_MS = 20;
@@ -121,11 +121,12 @@
     return this.monitor.hasMajority(this.groupOf(program));
   }
 
-  /** Sends a request to the keepers of a program; retries until a majority replies as expected.
-   * Merged reservations are `complete` if each keeper of that majority stores all of them. */
-  async send(program: string, request: GroupRequest): Promise<Reply> {
+  /** Sends a request to the keepers of a program; retries until a majority replies as expected, at least
+   * until the clock time `untilMs`. Merged reservations are `complete` if each keeper of that majority
+   * stores all of them. */
+  async send(program: string, request: GroupRequest, { untilMs = 0 } = {}): Promise<Reply> {
     const { clock } = this.options;
-    const retryUntilMs = clock.now() + QUORUM_RETRY_TIMEOUT_MS;
+    const retryUntilMs = Math.max(untilMs, clock.now() + QUORUM_RETRY_TIMEOUT_MS);
     while (true) {
       const { version } = this.activeRoster;
       try {
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -25,6 +25,14 @@
   retentionMs: number;
 }
 
+/** Options of `TurnStore.commit`. */
+export interface CommitOptions {
+  /** Turns that the completed one continues, oldest first. */
+  chain?: TurnRecord[];
+  /** Clock time until which the caller waits, in milliseconds. */
+  deadlineMs?: number;
+}
+
 /** Options of `TurnStore`. */
 export interface TurnStoreOptions extends GroupClientOptions {
   /** Size limit of the cache of turns. */
@@ -101,22 +109,28 @@
   }
 
   /**
-   * Writes a completed turn; resolves once a majority of its keepers has synced it to disk. `chain` are
-   * the turns that it continues; keepers that lack old ones, or those of other programs, get
-   * them, as they would otherwise expire before the turn.
+   * Writes a completed turn; resolves once a majority of its keepers has synced it to disk, and retries
+   * until the caller's `deadlineMs`, a clock time. `chain` are the turns that it continues; keepers that
+   * lack old ones, or those of other programs, get them, as they would otherwise expire before the turn.
    */
-  async commit(completed: TurnRecord, chain: TurnRecord[] = []): Promise<void> {
+  async commit(
+    completed: TurnRecord,
+    { chain = [], deadlineMs = 0 }: CommitOptions = {},
+  ): Promise<void> {
     const { program } = completed;
+    const retries = { untilMs: deadlineMs };
     const committedAtMs = this.options.clock.wallTime();
     const record: TurnRecord = { ...completed, committedAtMs };
-    const { body } = await this.group.send(program, { case: 'commitTurn', value: { record } });
+    const request: GroupRequest = { case: 'commitTurn', value: { record } };
+    const { body } = await this.group.send(program, request, retries);
     this.cache.add(record);
     const missing = new Set(body.case === 'acknowledgement' ? body.value.missingTurns : []);
     const ancestors = chain.filter(({ turn }) => missing.has(turn));
     const needsRenewal = (ancestor: TurnRecord) =>
       ancestor.program !== program || committedAtMs - ancestor.committedAtMs > RENEWAL_AGE_MS;
     if (!ancestors.some(needsRenewal)) return;
-    await this.group.send(program, { case: 'commitTurn', value: { record, ancestors } });
+    const renewal: GroupRequest = { case: 'commitTurn', value: { record, ancestors } };
+    await this.group.send(program, renewal, retries);
   }
 
   /** Replaces a turn's reservation with the tokens it used; if all attempts fail, it stays. */
