--- a/soak/src/soakRecord.ts
+++ b/soak/src/soakRecord.ts
@@ -1,6 +1,9 @@
 /** Time in which an entry may end a connection on which a request has arrived that it never read. */
 const LOSS_SLACK_MS = 200;
 
+/** Difference between the timers of entries and callers. */
+const TIMER_SLACK_MS = 100;
+
 /** How a request ended for its caller. */
 export interface RequestEnd {
   /** Status of the answer; `broken` when it is incomplete or missing. */
@@ -62,11 +65,19 @@
   }
 
   private checkLoss(id: string, sinceSentMs: number): void {
-    if (this.answerTimeoutMs === undefined || sinceSentMs >= this.answerTimeoutMs) return;
+    if (
+      this.answerTimeoutMs === undefined ||
+      sinceSentMs >= this.answerTimeoutMs - TIMER_SLACK_MS
+    ) {
+      return;
+    }
     const hasRun = this.executions.has(id);
     if (!hasRun && sinceSentMs <= LOSS_SLACK_MS) return;
     const progress = hasRun ? 'had been passed on' : 'had been read';
-    this.report(`LOST: ${id} ${progress} and got no answer for ${Math.round(sinceSentMs)} ms`);
+    const at = new Date().toISOString();
+    this.report(
+      `LOST: ${id} ${progress} and got no answer for ${Math.round(sinceSentMs)} ms (${at})`,
+    );
   }
 
   /** Records tokens that were delivered to a caller, with the limit of their program. */
