--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from '@marjorampin/metrics';
 import type { CallerLimits } from '@marjorampin/routing';
 import type { Clock, PeerAddress } from '@marjorampin/types';
+import type { CallerConnections } from './callerConnections';
 import type { EndedConnections } from './endedConnections';
 import { ConnectionRelay, relayGreeting, type RelayTarget } from './connectionRelay';
 
@@ -47,6 +48,7 @@
   log: EventLog;
   metrics: Metrics;
   clock: Clock;
+  connections: CallerConnections;
   endedConnections: EndedConnections;
   /** Absent if this entry serves all its callers by itself. */
   sharing?: ConnectionSharing | undefined;
@@ -72,9 +74,6 @@
   /** Callers' connections that this entry accepted itself and serves. */
   private readonly ownConnections = new WeakSet<Socket>();
 
-  /** Relayed connections on which a request has arrived. */
-  private readonly usedRelays = new WeakSet<Socket>();
-
   /** Time at which each connection that this entry serves was opened. */
   private readonly openedAtMs = new WeakMap<Socket, number>();
 
@@ -93,9 +92,7 @@
         requestTimeout: 0,
         noDelay: true,
       },
-      (message, response) => {
-        if (this.isServable(message.socket)) options.serve(message, response);
-      },
+      (message, response) => options.serve(message, response),
     );
     this.server.on('connection', (socket) => {
       options.metrics.count('gateway_connections_total');
@@ -103,6 +100,7 @@
       if (this.isRelayed(socket)) socket.write(relayGreeting(options.version()));
     });
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket as Socket));
+    this.server.on('connect', (_, socket) => this.rejectConnect(socket as Socket));
     this.applyLimits(INITIAL_LIMITS);
     const { log, metrics, endedConnections, sharing, version, longestTimeoutMs } = options;
     this.relay = new ConnectionRelay({
@@ -190,18 +188,6 @@
     return this.options.sharing !== undefined && !this.ownConnections.has(socket);
   }
 
-  /** A second request on a relayed connection would be cut when the connection closes. */
-  private isServable(socket: Socket): boolean {
-    if (!this.isRelayed(socket)) return true;
-    if (this.usedRelays.has(socket)) {
-      const reason = 'one request on a relayed connection';
-      this.options.endedConnections.record({ reason, progress: 'unread', isKept: true });
-      return false;
-    }
-    this.usedRelays.add(socket);
-    return true;
-  }
-
   private async placeConnection(socket: Socket, sharing: ConnectionSharing): Promise<void> {
     this.accepted += 1;
     const target = this.isStopping ? undefined : sharing.place();
@@ -221,16 +207,29 @@
   }
 
   private rejectMalformed(error: Error & { code?: string }, socket: Socket): void {
-    const { log, metrics } = this.options;
+    const { log, metrics, connections } = this.options;
     metrics.count('gateway_malformed_total', { code: error.code ?? 'unknown' });
-    if (!socket.writable || error.code === 'ECONNRESET' || socket.bytesRead === 0) {
+    const hasLeft = error.code === 'ECONNRESET' || socket.bytesRead === 0;
+    // The end of a connection within a request cancels the ones before it.
+    const isCancelled = socket.readableEnded && connections.isAnswerDue(socket);
+    if (!socket.writable || hasLeft || isCancelled) {
       socket.destroy();
       return;
     }
+    if (connections.isEnding(socket)) return;
     log.write('requestMalformed', { code: error.code, reason: error.message });
+    // The answers to earlier requests come first, and an answer of its own would be taken for one.
+    if (connections.endAfterLast(socket)) return;
     const status = MALFORMED_STATUS[error.code ?? ''] ?? '400 Bad Request';
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
+
+  /** Node.js hands over the connection of such a request, and closes it if nobody takes it. */
+  private rejectConnect(socket: Socket): void {
+    socket.on('error', () => undefined).on('end', () => socket.destroy());
+    socket.resume();
+    this.rejectMalformed(new Error('CONNECT is not supported; send a request'), socket);
+  }
 }
 
 async function listen(server: net.Server, { host, port }: PeerAddress): Promise<void> {
