A caller's connection has at most 16 requests in progress

Callers saw: one connection with 5,000 pipelined requests made the entry serve all of them at once; no call of the process reached an endpoint for 10 s (the rest of its memory and event loop went into these requests).

Cause: Node.js parses and dispatches all requests that a caller sends without waiting for answers; nothing limited them.

Fix: the answer to the 16th request in progress closes the connection (Connection: close); later requests of the connection are not served and the connection is not read any more, as HTTP/1.1 has it for requests after such an answer. Each request costs a counter.

Looked for the same elsewhere: relayed connections serve one request.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -19,6 +19,9 @@
  * the caller's next one is placed anew. */
 const PLACEMENT_LIFETIME_MS = 2_000;
 
+/** Requests of one connection that are served at once; the connection closes with the last answer. */
+const MAXIMUM_PIPELINED = 16;
+
 /** Statuses of requests that the parser rejects, by its error code; 400 for all other codes. */
 const MALFORMED_STATUS: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -70,6 +73,12 @@
   /** Callers' connections that this entry accepted itself and serves. */
   private readonly ownConnections = new WeakSet<Socket>();
 
+  /** Number of requests in progress on each connection. */
+  private readonly pipelined = new WeakMap<Socket, number>();
+
+  /** Connections that serve no further request. */
+  private readonly fullConnections = new WeakSet<Socket>();
+
   /** Relayed connections on which a request has arrived. */
   private readonly usedRelays = new WeakSet<Socket>();
 
@@ -92,7 +101,10 @@
         noDelay: true,
       },
       (message, response) => {
-        if (this.isServable(message.socket)) options.serve(message, response);
+        const { socket } = message;
+        if (this.isServable(socket) && this.admit(socket, response)) {
+          options.serve(message, response);
+        }
       },
     );
     this.server.on('connection', (socket) => {
@@ -190,6 +202,24 @@
     return true;
   }
 
+  /** Returns whether a request is served; later ones of a caller that sends too many at once are not read. */
+  private admit(socket: Socket, response: http.ServerResponse): boolean {
+    if (this.fullConnections.has(socket)) {
+      socket.pause();
+      return false;
+    }
+    const count = (this.pipelined.get(socket) ?? 0) + 1;
+    this.pipelined.set(socket, count);
+    response.once('close', () => {
+      this.pipelined.set(socket, (this.pipelined.get(socket) ?? 1) - 1);
+    });
+    if (count >= MAXIMUM_PIPELINED) {
+      this.fullConnections.add(socket);
+      response.shouldKeepAlive = false;
+    }
+    return true;
+  }
+
   private async placeConnection(socket: Socket, sharing: ConnectionSharing): Promise<void> {
     this.accepted += 1;
     const target = this.isStopping ? undefined : sharing.place();
