A message of a peer's server is limited to 64 MiB

A peer could declare a message of up to 4 GiB, which the client received whole before it looked at it (table of cases in LOST.md: "a message without end"). The server's side has had a limit of 16 MiB.

Evidence: largeMessages.test.ts, "a message of a server that is larger than any valid one", on the code before: 65 MB are received before the test's server stops; now the stream is closed when the length arrives.

--- a/packages/protocol/src/__tests__/largeMessages.test.ts
+++ b/packages/protocol/src/__tests__/largeMessages.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import http2 from 'node:http2';
+import type { AddressInfo } from 'node:net';
 import test from 'node:test';
 import { SystemClock } from '@marjorampin/types';
 import { PeerClient } from '../peerClient';
@@ -6,6 +8,8 @@
 import { PeerServer } from '../peerServer';
 
 const MB = 1_000_000;
+/** What a server sends before it stops by itself, more than the windows of a stream. */
+const LARGEST_SENT_BYTES = 64 * MB;
 const LOOPBACK = { host: '127.0.0.1', port: 0 };
 
 /** Replies to stored turns with an acknowledgement, and to other requests with a chain of the same size. */
@@ -54,3 +58,36 @@
     }
   });
 });
+
+test('a message of a server that is larger than any valid one ends the stream', async () => {
+  const server = http2.createServer();
+  let sentBytes = 0;
+  const closed = new Promise<void>((resolve) => {
+    server.on('stream', (stream) => {
+      stream.on('error', () => undefined);
+      stream.on('close', resolve);
+      stream.respond({ ':status': 200, 'content-type': 'application/grpc+proto' });
+      // The first bytes of a message without compression that declares 2 GB.
+      stream.write(Buffer.from([0, 0x7f, 0xff, 0xff, 0xff]));
+      const write = () => {
+        if (stream.destroyed || sentBytes > LARGEST_SENT_BYTES) return;
+        sentBytes += MB;
+        if (stream.write(Buffer.alloc(MB))) setImmediate(write);
+        else stream.once('drain', write);
+      };
+      write();
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const client = new PeerClient({ address, handler: new EchoHandler(), clock: new SystemClock() });
+  try {
+    await closed;
+    assert.ok(sentBytes <= LARGEST_SENT_BYTES, `${sentBytes} bytes were sent`);
+  } finally {
+    await client.close();
+    server.close();
+  }
+});
--- a/packages/protocol/src/peerTransport.ts
+++ b/packages/protocol/src/peerTransport.ts
@@ -12,6 +12,10 @@
 /** Maximum size of a message in gRPC. */
 const MAXIMUM_MESSAGE_BYTES = 0xffffffff;
 
+/** Largest message of a server that is read, checked before it is received: a reply may hold a chain of
+ * turns of 1 MB each. */
+const MAXIMUM_RECEIVED_BYTES = 64 * 1024 * 1024;
+
 /** Options of `createPeerTransport`. */
 export interface PeerTransportOptions {
   /** URL of the peer without a path. */
@@ -30,7 +34,7 @@
     acceptCompression: [],
     sendCompression: null,
     compressMinBytes: MAXIMUM_MESSAGE_BYTES,
-    readMaxBytes: MAXIMUM_MESSAGE_BYTES,
+    readMaxBytes: MAXIMUM_RECEIVED_BYTES,
     writeMaxBytes: MAXIMUM_MESSAGE_BYTES,
   });
 }
