--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -364,7 +364,7 @@
     level: 'warn',
     message: 'an answer was broken off because it exceeded a limit',
     remedy:
-      'Check what `endpoint` sends; for the limit `process` only if `answerBytes` is large, otherwise compare the gauges `gateway_held_*` and give the process more memory.',
+      'Check what `endpoint` sends; with the limit `process`, see Memory in docs/OPERATIONS.md.',
   },
 } as const satisfies Record<string, EventDefinition>;
 
