--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -68,6 +68,12 @@
 
   private readonly pools: PeerPool[] = [];
 
+  private readonly lossLimit: number;
+
+  constructor({ lossLimit = 1 } = {}) {
+    this.lossLimit = lossLimit;
+  }
+
   /** Starts a keeper; a restarted one reuses its port, and its folder unless it was wiped. */
   async start(id: string, { isFirstStart = true } = {}): Promise<TestKeeper> {
     const existing = this.keepers.get(id);
@@ -79,7 +85,7 @@
       address: { host: HOST, port: existing?.port ?? 0 },
       folder,
       isFirstStart,
-      lossLimit: 1,
+      lossLimit: this.lossLimit,
       store: this.store,
       readTimes: { intervalMs: 20, gatheringMs: 2, timeoutMs: 500 },
       retirement: orders,
@@ -126,13 +132,18 @@
     }
   }
 
-  /** Creates a turn store as an entry uses it. */
-  async createTurnStore(): Promise<TurnStore> {
+  /** Creates the connections of an entry. */
+  createPool(): PeerPool {
     const peers = new PeerPool({ handler: new ClientHandler(), clock });
     this.pools.push(peers);
+    return peers;
+  }
+
+  /** Creates a turn store as an entry uses it. */
+  async createTurnStore({ peers = this.createPool() } = {}): Promise<TurnStore> {
     const hash = await loadHash();
-    const { log } = this;
-    const turns = new TurnStore({ peers, hash, lossLimit: 1, domain: 'a', clock, log });
+    const { log, lossLimit } = this;
+    const turns = new TurnStore({ peers, hash, lossLimit, domain: 'a', clock, log });
     await this.adoptStoredRoster(turns);
     return turns;
   }
