A peer that is back is reached although calls to it never pause

Callers got 503 for up to ten seconds and more after all keepers were back: entries and keepers did not reach the one that had been away. Cause: while a client waits 1 to 2 s for its next attempt to connect, a call with a timeout of 800 or 900 ms that gets no reply closes the channel as mute; the attempt then runs the closed channel, ends at once, and the next delay begins. Under continual calls this repeats without end. The client now replaces a channel that was closed before it had a stream. reconnection.test.ts: 2 of 2 cases fail before (no reply within 3 s of the peer's start), pass after.

--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -97,6 +97,10 @@
       // Jitter prevents all peers of a restarted process from reconnecting at the same time.
       const delayMs = backoffMs * (0.5 + Math.random() / 2);
       await clock.sleep(delayMs, this.stopController.signal).catch(() => undefined);
+      // Calls that got no reply during the delay have closed the channel before it had a stream.
+      if (this.channel.isClosed && !this.stopController.signal.aborted) {
+        this.channel = this.openChannel();
+      }
     }
   }
 
