No turn is answered 404 while copies on lost disks are neither restored nor read

Cause: a keeper that restores counted the losses that it knew of. A replaced disk under the same id, and what was lost before its own disk was new, were not among them; max(0, lossLimit - losses) needed no more copies where more were lost than allowed; the silent keeper was removed with the vote of the empty one, and with the roster the number of copies and the number of keepers that prove absence shrank.

Fix: the roster states the disks that may store acknowledged data (holders), the smallest number of them that stores a write, and the version under which all data was last known to be at its keepers (copyHolders.ts). A restoration is complete only when fewer holders are unread than store any write. Replies to probes state what a keeper stores, so that the writer of a roster decides whether all data is whole without another write. A silent keeper stays in the roster while the data could not be restored without it; a new disk is listed once it could be restored, and after 15 s at the latest if only silent keepers are missing. Records, states and replies of earlier versions are still read: all listed disks count as holders.

--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -255,6 +255,12 @@
     message: 'this keeper lacks copies from other keepers and does not count as complete',
     remedy: 'Start the keepers named in `unread`; the restoration is retried until then.',
   },
+  rosterChangeDeferred: {
+    number: 719,
+    level: 'warn',
+    message: 'a keeper stays in the roster, as the data could not be restored without its copies',
+    remedy: 'Start the keepers that do not reply; turns that need them are refused until then.',
+  },
   configurationChanged: {
     number: 800,
     level: 'info',
--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -70,8 +70,14 @@
 
   private readonly lossLimit: number;
 
-  constructor({ lossLimit = 1 } = {}) {
+  private readonly removalAfterMs: number | undefined;
+
+  constructor({
+    lossLimit = 1,
+    removalAfterMs,
+  }: { lossLimit?: number; removalAfterMs?: number } = {}) {
     this.lossLimit = lossLimit;
+    this.removalAfterMs = removalAfterMs;
   }
 
   /** Starts a keeper; a restarted one reuses its port, and its folder unless it was wiped. */
@@ -86,6 +92,7 @@
       folder,
       isFirstStart,
       lossLimit: this.lossLimit,
+      removalAfterMs: this.removalAfterMs,
       store: this.store,
       readTimes: { intervalMs: 20, gatheringMs: 2, timeoutMs: 500 },
       retirement: orders,
--- a/packages/turns/src/__tests__/simulatedKeepers.ts
+++ b/packages/turns/src/__tests__/simulatedKeepers.ts
@@ -15,6 +15,7 @@
 import { StoreError } from '@marjorampin/store';
 import { CallError, type Clock, Err } from '@marjorampin/types';
 import type fc from 'fast-check';
+import { countUnavailable, nextCopies, unreadLimit } from '../copyHolders';
 import { KeeperHandler } from '../keeperHandler';
 import { ProgramTable } from '../programTable';
 import { replayEvents } from '../replayEvents';
@@ -125,7 +126,7 @@
       const keeper: SimulatedKeeper = {
         disk,
         diskId: id,
-        handler: this.createHandler(disk),
+        handler: this.createHandler(disk, id),
         startNumber: 1,
         isUp: true,
         isIntact: true,
@@ -181,13 +182,14 @@
   async restore(id: string): Promise<void> {
     const keeper = this.keeper(id);
     const { handler, startNumber } = keeper;
+    this.register(id, keeper);
     const { roster } = handler;
     if (!roster || handler.isComplete || this.isListedWithLostDisk(id, roster)) return;
     const isRestored = await restoreFromPeers({
       roster,
-      self: id,
+      self: { id, ...handler.status },
       lossLimit: LOSS_LIMIT,
-      losses: keeper.isIntact ? 0 : 1,
+      nowMs: this.clock.wallTime(),
       peers: this.peersOf(id),
       importProgram: (copy) => handler.importProgram(copy),
       importTurns: (records) => handler.importTurns(records),
@@ -201,18 +203,27 @@
   /** Passes the stored roster to a keeper. */
   adoptStoredRoster(id: string): void {
     this.keeper(id).handler.adopt(this.roster);
+    this.register(id, this.keeper(id));
   }
 
   private isListedWithLostDisk(id: string, roster: Roster): boolean {
     return roster.keepers.some((each) => each.id === id && each.disk !== this.keeper(id).diskId);
   }
 
-  /** Lists the new disk of a keeper in the stored roster. */
-  private register(id: string, { diskId, handler }: SimulatedKeeper): void {
-    const keepers = this.roster.keepers.map((each) =>
+  /** Lists the new disk of a keeper in the stored roster, unless no keeper could restore its data under
+   * that; it is tried again later. */
+  private register(id: string, { diskId, handler, isUp }: SimulatedKeeper): void {
+    const { roster } = this;
+    if (!isUp || !this.isListedWithLostDisk(id, roster)) return;
+    const keepers = roster.keepers.map((each) =>
       each.id === id ? { ...each, disk: diskId } : each,
     );
-    this.roster = create(RosterSchema, { version: this.roster.version + 1, keepers });
+    const up = [...this.keepers].filter(([, keeper]) => keeper.isUp);
+    const replies = new Map(up.map(([each, keeper]) => [each, keeper.handler.status]));
+    const nowMs = this.clock.wallTime();
+    const copies = nextCopies({ roster, keepers, replies, lossLimit: LOSS_LIMIT, nowMs });
+    if (countUnavailable(copies, replies, nowMs) > unreadLimit(copies)) return;
+    this.roster = create(RosterSchema, { version: roster.version + 1, keepers, ...copies });
     handler.adopt(this.roster);
   }
 
@@ -231,13 +242,14 @@
     return keeper;
   }
 
-  private createHandler(disk: SimulatedDisk): KeeperHandler {
+  private createHandler(disk: SimulatedDisk, diskId: string): KeeperHandler {
     const table = new ProgramTable();
     replayEvents(table, disk.synced, this.clock);
     const { clock, hash } = this;
     const listValues = async () => Err(unavailable());
     const lossLimit = LOSS_LIMIT;
-    return new KeeperHandler({ table, durableLog: disk, clock, hash, lossLimit, listValues });
+    const options = { table, durableLog: disk, clock, hash, lossLimit, listValues };
+    return Object.assign(new KeeperHandler(options), { disk: diskId });
   }
 
   private async restart(id: string, keeper: SimulatedKeeper): Promise<void> {
@@ -246,7 +258,7 @@
     await this.scheduler.schedule(Promise.resolve());
     if (keeper.startNumber !== startNumber) return;
     Object.assign(keeper, {
-      handler: this.createHandler(keeper.disk),
+      handler: this.createHandler(keeper.disk, keeper.diskId),
       isUp: true,
     });
     this.initialize(id, keeper);
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -1,4 +1,5 @@
 /** Turns and budgets of programs, stored on the disks of keepers. */
+export * from './copyHolders';
 export * from './durableLog';
 export * from './keeperGroup';
 export * from './keeperHandler';
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -22,6 +22,7 @@
 } from '@marjorampin/protocol';
 import type { Snapshot, StoreError } from '@marjorampin/store';
 import { CallError, type Clock, type Result } from '@marjorampin/types';
+import type { StoredData } from './copyHolders';
 import type { DurableLog } from './durableLog';
 import { PermitTable } from './permitTable';
 import type { ProgramTable } from './programTable';
@@ -59,6 +60,9 @@
   /** Roster version up to which all assigned data is stored; -1 before the first restoration. */
   restoredVersion = -1;
 
+  /** Id of the data on the disk of this keeper. */
+  disk = '';
+
   /** Number of reservations that only other keepers stored until an entry sent them here. */
   addedReservations = 0;
 
@@ -104,6 +108,12 @@
     return this.roster !== undefined && this.isCompleteFor(this.roster.version);
   }
 
+  /** Which data this keeper stores. */
+  get status(): StoredData {
+    const { disk, isIntact, restoredVersion } = this;
+    return { disk, intact: isIntact, restoredVersion };
+  }
+
   override async handle({ body }: Request): Promise<ReplyInit> {
     switch (body.case) {
       case 'reserveTokens':
@@ -129,7 +139,7 @@
       case 'shareLoad':
         return this.shareLoad(body.value);
       case 'probe':
-        return { body: { case: 'acknowledgement', value: { accepted: true } } };
+        return { body: { case: 'keeperStatus', value: this.status } };
       default:
         throw new CallError({
           kind: 'invalid-request',
@@ -309,8 +319,7 @@
       bytes: PAGE_BYTES,
       nowMs: clock.now(),
     });
-    const { isIntact, restoredVersion } = this;
-    const value = { programs, hasMore, intact: isIntact, restoredVersion };
+    const value = { programs, hasMore, ...this.status };
     return { body: { case: 'programPage', value } };
   }
 
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -2,13 +2,7 @@
 import type { EventFields, EventLog } from '@marjorampin/logging';
 import { loadHash } from '@marjorampin/membership';
 import type { Metrics } from '@marjorampin/metrics';
-import {
-  type Keeper,
-  PeerPool,
-  PeerServer,
-  type Roster,
-  RosterSchema,
-} from '@marjorampin/protocol';
+import { PeerPool, PeerServer, type Roster, RosterSchema } from '@marjorampin/protocol';
 import { type KeyValueStore, WatchedPrefix } from '@marjorampin/store';
 import { type Clock, formatPeerAddress, type PeerAddress } from '@marjorampin/types';
 import { compactLog } from './compactLog';
@@ -17,15 +11,13 @@
 import { type KeeperState, readKeeperState, writeKeeperState } from './keeperState';
 import { ProgramTable } from './programTable';
 import { replayEvents } from './replayEvents';
-import { countDepartures, restoreFromPeers, type RestorationResult } from './restoration';
+import { restoreFromPeers, type RestorationResult } from './restoration';
 import { type RetirementOrders, RosterMaintainer } from './rosterMaintainer';
 import { RelayedStore } from './relayedStore';
 import { ALL_KEYS, SharedList, type ValueReadTimes } from './sharedList';
 
 /** Delay before a restoration that lacked sources is retried. */
 const RESTORATION_RETRY_DELAY_MS = 200;
-/** Timeout for reading the restored version of another keeper; the next round retries it. */
-const VERSION_TIMEOUT_MS = 1_000;
 /** Interval between removals of expired data from memory and log. */
 const COMPACTION_INTERVAL_MS = 5_000;
 
@@ -40,6 +32,8 @@
   isFirstStart: boolean;
   /** Number of keepers whose disks may be lost at once. */
   lossLimit: number;
+  /** Time without a reply after which a keeper is removed from the roster. */
+  removalAfterMs?: number;
   store: KeyValueStore;
   readTimes: ValueReadTimes;
   retirement: RetirementOrders;
@@ -74,9 +68,6 @@
 
   private state: KeeperState = { disk: '', intact: false, restoredVersion: -1, isNew: true };
 
-  /** Whether this keeper lost its disk and has not restored the data from other keepers yet. */
-  private hasLostDisk = false;
-
   private isRestoring = false;
 
   /** Counts of the last restoration that was logged as incomplete. */
@@ -93,11 +84,9 @@
 
   /** Replays the log, listens, and joins the roster in the background; returns the port in use. */
   async start(): Promise<number> {
-    const { id, domain, address, folder, isFirstStart, clock, log, store } = this.options;
+    const { id, domain, address, folder, isFirstStart, clock, log, store, lossLimit } =
+      this.options;
     this.state = await readKeeperState(folder, { isFirstStart });
-    // An unfinished restoration may have begun with a lost disk, which the state does not record,
-    // so a lost disk is assumed.
-    this.hasLostDisk = !this.state.isNew && !this.state.intact;
     const events = await this.durableLog.replay();
     replayEvents(this.table, events, clock);
     const handler = await this.createHandler();
@@ -118,7 +107,9 @@
       clock,
       log,
       adopt: (roster) => handler.adopt(roster),
-      areOthersRestored: (roster) => this.areOthersRestored(roster),
+      lossLimit,
+      removalAfterMs: this.options.removalAfterMs,
+      status: () => handler.status,
     });
     this.compaction = setInterval(() => this.compact(), COMPACTION_INTERVAL_MS);
     log.write('processStarted', {
@@ -153,7 +144,8 @@
     const { table, durableLog } = this;
     const listValues = () => this.sharedList.read();
     const handler = new KeeperHandler({ table, durableLog, clock, hash, lossLimit, listValues });
-    const { intact, restoredVersion, roster } = this.state;
+    const { disk, intact, restoredVersion, roster } = this.state;
+    handler.disk = disk;
     handler.isIntact = intact;
     handler.restoredVersion = restoredVersion;
     if (roster) handler.adopt(create(RosterSchema, roster));
@@ -197,18 +189,21 @@
       const { roster } = handler;
       // Under a roster that lists the lost disk, other keepers still accept writes whose majority
       // counts that disk. Restoration continues under the roster that lists the new disk.
-      if (!roster || this.detectLostDisk(roster)) break;
-      const departures = countDepartures(this.restoredRoster, roster);
-      const losses = departures + (this.hasLostDisk ? 1 : 0);
-      const importProgram = handler.importProgram.bind(handler);
-      const importTurns = handler.importTurns.bind(handler);
+      if (!roster || !this.isListed(roster)) break;
       let result: RestorationResult | undefined;
-      const onResult = (counted: RestorationResult) => {
-        result = counted;
-      };
-      const copies = { roster, self: id, lossLimit, losses, peers, importProgram, importTurns };
-      const isRestored = await restoreFromPeers({ ...copies, onResult });
-      const counts = { rosterVersion: roster.version, departures, losses, ...result };
+      const isRestored = await restoreFromPeers({
+        roster,
+        self: { id, ...handler.status },
+        lossLimit,
+        nowMs: clock.wallTime(),
+        peers,
+        importProgram: handler.importProgram.bind(handler),
+        importTurns: handler.importTurns.bind(handler),
+        onResult: (counted) => {
+          result = counted;
+        },
+      });
+      const counts = { rosterVersion: roster.version, ...result };
       if (isRestored) {
         await this.saveRestored(roster);
         handler.markRestored(roster.version);
@@ -229,44 +224,16 @@
     this.options.log.write('restorationIncomplete', counts);
   }
 
-  /** Returns whether the roster lists another disk of this keeper; if so, sets `hasLostDisk`. */
-  private detectLostDisk({ keepers }: Roster): boolean {
-    const listed = keepers.find(({ id }) => id === this.options.id);
-    const isLost = listed !== undefined && listed.disk !== this.state.disk;
-    if (isLost) this.hasLostDisk = true;
-    return isLost;
-  }
-
-  private get restoredRoster(): Roster | undefined {
-    return this.state.roster && create(RosterSchema, this.state.roster);
+  /** Returns whether a roster lists this keeper with its disk. */
+  private isListed({ keepers }: Roster): boolean {
+    const { disk } = this.state;
+    return keepers.some((keeper) => keeper.id === this.options.id && keeper.disk === disk);
   }
 
   private async saveRestored(roster: Roster): Promise<void> {
     const restoredVersion = roster.version;
     this.state = { ...this.state, intact: true, restoredVersion, roster };
     await writeKeeperState(this.options.folder, this.state);
-    this.hasLostDisk = false;
-  }
-
-  private async areOthersRestored(roster: Roster): Promise<boolean> {
-    const others = roster.keepers.filter(({ id }) => id !== this.options.id);
-    const versions = await Promise.all(
-      others.map((other) => this.restoredVersionOf(other, roster)),
-    );
-    return versions.every((version) => version >= roster.version);
-  }
-
-  private async restoredVersionOf({ address }: Keeper, roster: Roster): Promise<number> {
-    const value = { roster, receiver: this.options.id, after: '' };
-    try {
-      const reply = await this.peers
-        ?.get(address)
-        .call({ case: 'copyPrograms', value }, { progressTimeoutMs: VERSION_TIMEOUT_MS });
-      return reply?.body.case === 'programPage' ? reply.body.value.restoredVersion : -1;
-    } catch (error) {
-      this.options.log.write('keeperUnreachable', { address, error: String(error) });
-      return -1;
-    }
   }
 
   private async compact(): Promise<void> {
--- a/packages/turns/src/keeperState.ts
+++ b/packages/turns/src/keeperState.ts
@@ -12,8 +12,7 @@
   intact: z.boolean(),
   /** Roster version up to which all assigned data is stored. */
   restoredVersion: z.number().default(-1),
-  /** Roster of `restoredVersion`, against which departures of other keepers are counted; also lets
-   * this keeper restart without the platform's store. */
+  /** Roster of `restoredVersion`; lets this keeper restart without the platform's store. */
   roster: rosterSchema.extend({ version: z.number() }).optional(),
 });
 
--- a/packages/turns/src/restoration.ts
+++ b/packages/turns/src/restoration.ts
@@ -7,7 +7,14 @@
   Roster,
   TurnRecord,
 } from '@marjorampin/protocol';
-import { activeKeepers, groupOf } from './keeperGroup';
+import {
+  copiesOf,
+  holderState,
+  relevantHolders,
+  type StoredData,
+  unreadLimit,
+} from './copyHolders';
+import { groupOf } from './keeperGroup';
 
 /** Timeout for one page of a copy; a page of `PAGE_BYTES` crosses a slow link in less time. */
 const PAGE_TIMEOUT_MS = 2_000;
@@ -15,26 +22,25 @@
 /** Turns per request: at a few kilobytes each, well below the size limit of a message. */
 const TURNS_PER_COPY = 100;
 
-/** What a restoration copied. */
+/** What a restoration counted. */
 export interface RestorationResult {
-  /** Ids of the intact keepers that were copied from, up to now, separated by spaces. */
+  /** Ids of the keepers that were copied from, up to now, separated by spaces. */
   copied: string;
-  /** Ids of the other keepers. */
+  /** Ids of the holders of copies that were not read. */
   unread: string;
-  /** Number of keepers that must be copied from. */
-  needed: number;
+  /** Number of holders that may remain unread. */
+  unreadLimit: number;
 }
 
 /** Options of `restoreFromPeers`. */
 export interface RestorationOptions {
   roster: Roster;
-  /** Id of the keeper that restores. */
-  self: string;
+  /** The keeper that restores. */
+  self: StoredData & { id: string };
   /** Number of keepers whose disks may be lost at once. */
   lossLimit: number;
-  /** Losses so far: the disk of this keeper, and keepers that left the roster since its last
-   * restoration. Fewer copies of their data may be left. */
-  losses: number;
+  /** Wall-clock time. */
+  nowMs: number;
   peers: PeerConnections;
   /** Stores reservations copied from another keeper; returns ids of turns that are missing here. */
   importProgram(copy: ProgramCopy): Promise<string[]>;
@@ -44,63 +50,66 @@
   onResult?(result: RestorationResult): void;
 }
 
-/** Returns how many intact keepers must be copied from to rule out missing data. */
-export function sourcesNeeded({
-  roster,
-  self,
-  lossLimit,
-  losses,
-}: Pick<RestorationOptions, 'roster' | 'self' | 'lossLimit' | 'losses'>): number {
-  const others = roster.keepers.filter(({ id }) => id !== self).length;
-  return Math.max(0, others - Math.max(0, lossLimit - losses));
-}
-
-/** Returns how many active keepers of an earlier roster are not active in a later one. */
-export function countDepartures(earlier: Roster | undefined, later: Roster): number {
-  if (!earlier) return 0;
-  const active = new Set(activeKeepers(later).map(({ id }) => id));
-  return activeKeepers(earlier).filter(({ id }) => !active.has(id)).length;
-}
-
-/** Copies assigned data from all other keepers; resolves to true if no data can be missing. */
+/** Copies assigned data from all other keepers; resolves to true if no data can be missing: fewer holders
+ * are unread than store any acknowledged write. */
 export async function restoreFromPeers(options: RestorationOptions): Promise<boolean> {
-  const { roster, self, onResult = () => undefined } = options;
-  const others = roster.keepers.filter(({ id }) => id !== self);
-  const needed = sourcesNeeded(options);
+  const { roster, self, lossLimit, nowMs, onResult = () => undefined } = options;
+  const copies = copiesOf(roster, lossLimit);
+  const limit = unreadLimit(copies);
+  const unread = new Map(relevantHolders(copies, nowMs).map((holder) => [holder.id, holder]));
+  const others = roster.keepers.filter(({ id }) => id !== self.id);
+  const pending = new Set(others.map(({ id }) => id));
   const copied: string[] = [];
-  let finished = 0;
+  const count = (id: string, stored: StoredData) => {
+    const holder = unread.get(id);
+    if (!holder || holderState(holder, stored, copies.wholeVersion) === 'lost') return;
+    unread.delete(id);
+  };
   return new Promise((resolve) => {
     let isResolved = false;
     const finish = (isComplete: boolean) => {
       if (isResolved) return;
       isResolved = true;
-      const unread = others.map(({ id }) => id).filter((id) => !copied.includes(id));
-      onResult({ copied: copied.join(' '), unread: unread.join(' '), needed });
+      const ids = [...unread.keys()].join(' ');
+      onResult({ copied: copied.join(' '), unread: ids, unreadLimit: limit });
       resolve(isComplete);
     };
-    if (needed === 0) finish(true);
+    const decide = () => {
+      const unreachable = [...unread.keys()].filter((id) => !pending.has(id));
+      if (unread.size <= limit) finish(true);
+      else if (unreachable.length > limit) finish(false);
+    };
+    count(self.id, self);
+    decide();
     others.forEach(async (other) => {
-      // A keeper that can't be copied from counts as one of the tolerated losses.
-      const isIntact = await copyFrom(other, options).catch(() => false);
-      finished += 1;
-      if (isIntact) copied.push(other.id);
-      if (copied.length >= needed) finish(true);
-      else if (others.length - finished + copied.length < needed) finish(false);
+      // A keeper that can't be copied from remains unread.
+      const stored = await copyFrom(other, options).catch(() => undefined);
+      pending.delete(other.id);
+      if (stored) {
+        copied.push(other.id);
+        count(other.id, stored);
+      }
+      decide();
     });
   });
 }
 
-/** Copies all pages from one keeper; resolves to true if that keeper is intact. */
-async function copyFrom(source: Keeper, options: RestorationOptions): Promise<boolean> {
+/** Copies all pages from one keeper; resolves to what it stores, or undefined if it lost data meanwhile. */
+async function copyFrom(
+  source: Keeper,
+  options: RestorationOptions,
+): Promise<StoredData | undefined> {
   const { roster, self, peers, importProgram } = options;
   let after = '';
   while (true) {
-    const page = await requestPage(peers, source, { roster, receiver: self, after });
+    const page = await requestPage(peers, source, { roster, receiver: self.id, after });
     // The writes of a page run concurrently, so that they share one sync of the log.
     const missing = (await Promise.all(page.programs.map(importProgram))).flat();
     // A source that lost its disk since it sent the page lacks turns that it listed.
-    if (!(await copyTurns(source, missing, options))) return false;
-    if (!page.hasMore) return page.intact;
+    if (!(await copyTurns(source, missing, options))) return undefined;
+    const { intact, restoredVersion } = page;
+    // Earlier versions of marjorampin don't state the disk.
+    if (!page.hasMore) return { disk: page.disk || source.disk, intact, restoredVersion };
     after = page.programs.at(-1)?.program ?? after;
   }
 }
--- a/packages/turns/src/rosterMaintainer.ts
+++ b/packages/turns/src/rosterMaintainer.ts
@@ -1,9 +1,23 @@
 import { create } from '@bufbuild/protobuf';
 import type { EventLog } from '@marjorampin/logging';
 import { type Hash, MonitorRing } from '@marjorampin/membership';
-import { type Keeper, KeeperSchema, type PeerPool, type Roster } from '@marjorampin/protocol';
+import {
+  type Keeper,
+  KeeperSchema,
+  type PeerPool,
+  type Reply,
+  type Roster,
+} from '@marjorampin/protocol';
 import type { KeyValueStore, WatchedPrefix } from '@marjorampin/store';
 import type { Clock } from '@marjorampin/types';
+import {
+  type Copies,
+  countUnavailable,
+  nextCopies,
+  relevantHolders,
+  type StoredData,
+  unreadLimit,
+} from './copyHolders';
 import { parseRoster, ROSTER_KEY, writeRoster } from './rosterRecord';
 
 /** Interval between two rounds of probes and roster checks. */
@@ -12,8 +26,11 @@
 /** Delay before a write that met another change is repeated; random, because all keepers of a new
  * deployment join at the same time. */
 const MAXIMUM_CONFLICT_DELAY_MS = 300;
-/** Time without a probe reply after which a keeper is removed; longer than a restart takes. */
+/** Default time without a probe reply after which a keeper is removed; longer than a restart takes. */
 const REMOVAL_AFTER_MS = 4_000;
+/** Time for which a keeper with an empty disk waits for silent keepers before the roster lists that disk:
+ * until then, programs that neither of them stores are served. */
+const REGISTRATION_WAIT_MS = 15_000;
 
 /** Operators' orders to retire a host: its data is copied to other hosts before it is removed. */
 export abstract class RetirementOrders {
@@ -37,10 +54,22 @@
   hash: Hash;
   clock: Clock;
   log: EventLog;
+  /** Number of keepers whose disks may be lost at once. */
+  lossLimit: number;
+  /** Time without a probe reply after which a keeper is removed. */
+  removalAfterMs?: number;
+  /** Returns which data this keeper stores. */
+  status(): StoredData;
   /** Receives each roster that is read or written. */
   adopt(roster: Roster): void;
-  /** Returns whether all other keepers store the data assigned to them under a roster. */
-  areOthersRestored(roster: Roster): Promise<boolean>;
+}
+
+/** Replies of the other keepers to one probe each. */
+interface ProbeReplies {
+  /** Number of keepers that replied. */
+  responding: number;
+  /** What the keepers that replied, and this one, store, by id. */
+  stored: Map<string, StoredData>;
 }
 
 /** Keeps this keeper in the roster, removes unresponsive ones that it monitors, and leaves on a retirement order. */
@@ -61,6 +90,12 @@
 
   private hasRetired = false;
 
+  /** Clock time since which the new disk of this keeper waits to be listed. */
+  private deferredSinceMs: number | undefined;
+
+  /** Changes that were logged as deferred since the last write. */
+  private readonly loggedDeferrals = new Set<string>();
+
   constructor(options: RosterMaintainerOptions) {
     this.options = options;
   }
@@ -113,24 +148,95 @@
     if (this.hasRetired) return true;
     const keepers = (roster ?? this.readable)?.keepers ?? [];
     const unresponsive = await this.probeMonitored(keepers);
-    const remaining = keepers.filter(({ id }) => !unresponsive.has(id));
-    const changed = this.withSelf(remaining);
-    if (!isUnreadable && sameKeepers(changed, keepers)) return true;
+    const wanted = this.withSelf(keepers.filter(({ id }) => !unresponsive.has(id)));
+    if (!isUnreadable && sameKeepers(wanted, keepers)) return true;
     // A keeper that reaches no majority neither joins the roster nor removes others from it.
     const others = keepers.filter(({ id }) => id !== this.options.self.id);
-    const responding = await this.countResponding(others);
-    if (others.length > 0 && (1 + responding) * 2 <= 1 + others.length) return true;
-    if (!(await this.write(changed, storedVersion))) return false;
-    unresponsive.forEach((keeper) => {
-      const answering = responding;
-      this.options.log.write('keeperRemoved', { keeper, silentMs: REMOVAL_AFTER_MS, answering });
-    });
+    const replies = await this.probeAll(others);
+    if (others.length > 0 && (1 + replies.responding) * 2 <= 1 + others.length) return true;
+    const base = roster ?? this.readable;
+    const changed = this.mayRemove(base, wanted, replies) ? wanted : this.withSelf(keepers);
+    if (!isUnreadable && sameKeepers(changed, keepers)) return true;
+    const copies = this.copiesAfter(base, changed, replies);
+    if (this.mustWait(base, changed, copies, replies)) return true;
+    if (!(await this.write(changed, copies, storedVersion))) return false;
+    keepers
+      .filter(({ id }) => unresponsive.has(id) && !changed.some((keeper) => keeper.id === id))
+      .forEach(({ id }) => {
+        const { log, removalAfterMs: silentMs = REMOVAL_AFTER_MS } = this.options;
+        log.write('keeperRemoved', { keeper: id, silentMs, answering: replies.responding });
+      });
     return true;
   }
 
+  /** Returns whether silent keepers may be removed: what they store can be read from others, and
+   * this keeper has not lost its own disk. */
+  private mayRemove(base: Roster | undefined, keepers: Keeper[], replies: ProbeReplies): boolean {
+    const { clock, status } = this.options;
+    const removed = (base?.keepers ?? []).filter(({ id }) =>
+      keepers.every((each) => each.id !== id),
+    );
+    if (removed.length === 0) return true;
+    const copies = this.copiesAfter(base, keepers, replies);
+    const unavailable = countUnavailable(copies, replies.stored, clock.wallTime());
+    if (!status().intact) return false;
+    if (unavailable <= unreadLimit(copies)) return true;
+    this.logDeferred(removed, unavailable, unreadLimit(copies));
+    return false;
+  }
+
+  /**
+   * Returns whether a change that drops a disk from the roster must wait, as no keeper could restore its
+   * data under it: without limit for copies that earlier rosters have lost, which expire, and for some
+   * time for silent keepers.
+   */
+  private mustWait(
+    base: Roster | undefined,
+    keepers: Keeper[],
+    copies: Copies,
+    replies: ProbeReplies,
+  ): boolean {
+    const { clock } = this.options;
+    const disks = new Set(keepers.map(({ id, disk }) => `${id} ${disk}`));
+    const dropped = (base?.keepers ?? []).filter(({ id, disk }) => !disks.has(`${id} ${disk}`));
+    const limit = unreadLimit(copies);
+    const unavailable = countUnavailable(copies, replies.stored, clock.wallTime());
+    if (dropped.length === 0 || unavailable <= limit) {
+      this.deferredSinceMs = undefined;
+      return false;
+    }
+    this.deferredSinceMs ??= clock.now();
+    const missing = relevantHolders(copies, clock.wallTime()).filter(
+      ({ missingSinceMs }) => missingSinceMs > 0,
+    );
+    const isWaiting = clock.now() - this.deferredSinceMs < REGISTRATION_WAIT_MS;
+    if (!isWaiting && missing.length <= limit) return false;
+    this.logDeferred(dropped, unavailable, limit);
+    return true;
+  }
+
+  /** Logs a change that waits, once until the roster is written. */
+  private logDeferred(dropped: Keeper[], unavailable: number, limit: number): void {
+    const keepers = dropped.map(({ id }) => id).join(' ');
+    const fields = { keepers, unavailable, unreadLimit: limit };
+    const text = JSON.stringify(fields);
+    if (this.loggedDeferrals.has(text)) return;
+    this.loggedDeferrals.add(text);
+    this.options.log.write('rosterChangeDeferred', fields);
+  }
+
+  private copiesAfter(
+    roster: Roster | undefined,
+    keepers: Keeper[],
+    { stored }: ProbeReplies,
+  ): Copies {
+    const { lossLimit, clock } = this.options;
+    return nextCopies({ roster, keepers, replies: stored, lossLimit, nowMs: clock.wallTime() });
+  }
+
   /** Probes the keepers that this one monitors; returns those without a reply for too long. */
   private async probeMonitored(keepers: Keeper[]): Promise<Set<string>> {
-    const { self, clock } = this.options;
+    const { self, clock, removalAfterMs = REMOVAL_AFTER_MS } = this.options;
     const monitored = this.ringOf(keepers).monitoredBy(self.id);
     const ids = new Set(monitored.map(({ id }) => id));
     [...this.lastReplyAtMs.keys()]
@@ -142,11 +248,11 @@
       monitored.map(async (keeper) => {
         // The time of silence counts from the first probe.
         if (!this.lastReplyAtMs.has(keeper.id)) this.lastReplyAtMs.set(keeper.id, clock.now());
-        if (await this.responds(keeper)) this.lastReplyAtMs.set(keeper.id, clock.now());
+        if (await this.probe(keeper)) this.lastReplyAtMs.set(keeper.id, clock.now());
       }),
     );
     const now = clock.now();
-    const silent = [...this.lastReplyAtMs].filter(([, atMs]) => now - atMs >= REMOVAL_AFTER_MS);
+    const silent = [...this.lastReplyAtMs].filter(([, atMs]) => now - atMs >= removalAfterMs);
     return new Set(silent.map(([id]) => id));
   }
 
@@ -158,10 +264,19 @@
     return this.ring.monitors;
   }
 
-  /** Probes all other keepers once and returns how many reply. */
-  private async countResponding(others: Keeper[]): Promise<number> {
-    const replies = await Promise.all(others.map((other) => this.responds(other)));
-    return replies.filter(Boolean).length;
+  /** Probes all other keepers once. */
+  private async probeAll(others: Keeper[]): Promise<ProbeReplies> {
+    const { self, status } = this.options;
+    const stored = new Map<string, StoredData>([[self.id, status()]]);
+    const replies = await Promise.all(
+      others.map(async (other) => {
+        const reply = await this.probe(other);
+        // Earlier versions of marjorampin reply without a status.
+        if (reply?.body.case === 'keeperStatus') stored.set(other.id, reply.body.value);
+        return reply;
+      }),
+    );
+    return { responding: replies.filter(Boolean).length, stored };
   }
 
   /** Returns the keepers with this keeper's current roster record, sorted by id. */
@@ -174,34 +289,39 @@
     return [...others, current].sort((a, b) => a.id.localeCompare(b.id));
   }
 
-  /** Probes a keeper and returns whether it replies in time. */
-  private async responds({ address }: Keeper): Promise<boolean> {
+  /** Probes a keeper; returns undefined if it does not reply in time. */
+  private async probe({ address }: Keeper): Promise<Reply | undefined> {
     const { peers, self } = this.options;
     const body = { case: 'probe' as const, value: { sender: self.id } };
     try {
-      await peers.get(address).call(body, { progressTimeoutMs: PROBE_TIMEOUT_MS });
-      return true;
+      return await peers.get(address).call(body, { progressTimeoutMs: PROBE_TIMEOUT_MS });
     } catch {
       // Expected if the keeper is down; the callers count the silence.
-      return false;
+      return undefined;
     }
   }
 
   private async retireIfOrdered(roster: Roster | undefined): Promise<void> {
-    const { retirement, self, log, values, areOthersRestored } = this.options;
+    const { retirement, self, log, values } = this.options;
     const listed = roster?.keepers.find(({ id }) => id === self.id);
     if (!roster || !listed?.leaving || !retirement.isOrdered(values)) return;
     await retirement.report('running');
-    if (!(await areOthersRestored(roster))) return;
     const others = roster.keepers.filter(({ id }) => id !== self.id);
-    if (!(await this.write(others, roster.version))) return;
+    const replies = await this.probeAll(others);
+    if (!others.every((other) => isRestored(other, roster, replies))) return;
+    const copies = this.copiesAfter(roster, others, replies);
+    if (!(await this.write(others, copies, roster.version))) return;
     this.hasRetired = await retirement.report('completed');
     log.write('keeperRetired', { keeper: self.id, rosterVersion: roster.version });
   }
 
-  private async write(keepers: Keeper[], expectedVersion: number): Promise<boolean> {
+  private async write(
+    keepers: Keeper[],
+    copies: Copies,
+    expectedVersion: number,
+  ): Promise<boolean> {
     const { store, values, adopt, log } = this.options;
-    const written = await writeRoster(store, keepers, expectedVersion);
+    const written = await writeRoster(store, { keepers, ...copies }, expectedVersion);
     const stored = await store.get(ROSTER_KEY);
     if (stored.ok && stored.val) values.applyWrite(stored.val);
     const roster = this.storedRoster();
@@ -210,11 +330,24 @@
       log.write('rosterWriteFailed', { kind: written.val.kind, expectedVersion });
       return false;
     }
-    log.write('rosterChanged', { version: written.val, keepers: keepers.length });
+    this.loggedDeferrals.clear();
+    log.write('rosterChanged', {
+      version: written.val,
+      keepers: keepers.length,
+      missing: copies.holders.filter(({ missingSinceMs }) => missingSinceMs > 0).length,
+      minimumCopies: copies.minimumCopies,
+      wholeVersion: copies.wholeVersion,
+    });
     return true;
   }
 }
 
+/** Returns whether a keeper stores all data that a roster assigns to it. */
+function isRestored({ id, disk }: Keeper, { version }: Roster, { stored }: ProbeReplies): boolean {
+  const status = stored.get(id);
+  return status?.disk === disk && status.intact && status.restoredVersion >= version;
+}
+
 function sameKeepers(left: Keeper[], right: Keeper[]): boolean {
   const fieldsOf = (keepers: Keeper[]) =>
     keepers.map(({ id, address, domain, disk, leaving }) => [id, address, domain, disk, leaving]);
--- a/packages/turns/src/rosterRecord.ts
+++ b/packages/turns/src/rosterRecord.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import { type Keeper, type Roster, RosterSchema } from '@marjorampin/protocol';
+import { type Roster, RosterSchema } from '@marjorampin/protocol';
 import {
   compareAndSwapWithReadBack,
   type KeyValueStore,
@@ -23,6 +23,12 @@
       leaving: z.boolean(),
     }),
   ),
+  // Earlier versions of marjorampin write rosters without the following fields.
+  holders: z
+    .array(z.object({ id: z.string(), disk: z.string(), missingSinceMs: z.number() }))
+    .default([]),
+  minimumCopies: z.number().int().min(0).default(0),
+  wholeVersion: z.number().default(0),
 });
 
 /** Parses a stored roster; undefined if it is not valid. */
@@ -34,17 +40,11 @@
 /** Writes a roster if the stored version is still `expectedVersion`; returns the new version. */
 export async function writeRoster(
   store: KeyValueStore,
-  keepers: Keeper[],
+  roster: z.infer<typeof rosterSchema>,
   expectedVersion: number,
 ): Promise<Result<number, StoreError>> {
-  const rows = keepers.map(({ id, address, domain, disk, leaving }) => ({
-    id,
-    address,
-    domain,
-    disk,
-    leaving,
-  }));
-  const value = { keepers: rows };
+  // Parsing leaves out the fields of messages that are not part of the record.
+  const value = rosterSchema.parse(roster);
   return compareAndSwapWithReadBack<typeof value & TokenedValue>(store, {
     key: ROSTER_KEY,
     value,
