--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { ByteAccount, type Holding, HOLDING_KINDS } from '@marjorampin/http';
 import type { EventLog } from '@marjorampin/logging';
 import type { Metrics } from '@marjorampin/metrics';
 import type { Quarantine } from '@marjorampin/quarantine';
@@ -17,12 +18,13 @@
 import { afterPoll } from './afterPoll';
 import { abortAnswer } from './answerRelay';
 import { CallForwarder } from './callForwarder';
-import { type CallerRequest, readCallerBody } from './callerRequest';
+import { BodyOverdue, type CallerRequest, readCallerBody } from './callerRequest';
 import { CallerServer, type ConnectionSharing } from './callerServer';
 import { CallInput } from './callInput';
 import { CallTrace } from './callTrace';
 import { trackCaller } from './callerSignal';
 import type { HeaderCodec } from './headerCodec';
+import { EndedConnections, type EndReason, type ServedRequest } from './endedConnections';
 import { EndpointAttempts } from './endpointAttempts';
 import { EndpointChoice } from './endpointChoice';
 import { type EndpointCrash, EndpointCrashes } from './endpointCrashes';
@@ -36,6 +38,7 @@
   entryLagging,
   unknownRoute,
 } from './gatewayErrors';
+import { heldLimitBytes } from './heldLimit';
 import { LoopLag } from './loopLag';
 import { RateLimits } from './rateLimits';
 import { headerBytes, headerValue } from './rawHeaders';
@@ -83,20 +86,16 @@
   loopTimes(): LoopTimes;
   /** How entries share callers' connections; by default, each serves its own. */
   sharing?: ConnectionSharing | undefined;
-}
-
-/** A request with the data for its log entry. */
-interface ServedRequest {
-  requestId: string | undefined;
-  response: http.ServerResponse;
-  trace: CallTrace;
-  arrivedAtMs: number;
+  /** Limit of the bytes that all calls hold together; a share of the heap by default. */
+  heldLimitBytes?: number | undefined;
 }
 
 /** Forwards callers' requests to endpoints and answers them. */
 export class Gateway {
   private readonly options: GatewayOptions;
 
+  private readonly held: ByteAccount;
+
   private readonly choice: EndpointChoice;
 
   private readonly crashes: EndpointCrashes;
@@ -119,17 +118,26 @@
 
   private readonly stopPlan = new StopPlan();
 
-  /** Responses of the requests that are not answered yet. */
-  private readonly openResponses = new Set<http.ServerResponse>();
+  private readonly endedConnections: EndedConnections;
+
+  /** Requests that are not answered yet, by their responses. */
+  private readonly openRequests = new Map<http.ServerResponse, ServedRequest>();
+
+  /** Connections on which a request has arrived. */
+  private readonly usedConnections = new WeakSet<Socket>();
 
   private lastAcceptedAtMs = 0;
 
   constructor(options: GatewayOptions) {
     this.options = options;
     const { clock, domain, headerCodec, log, metrics, turns, permits, quarantine } = options;
+    this.held = new ByteAccount({
+      limitBytes: options.heldLimitBytes ?? heldLimitBytes(),
+      onBreakOff: ({ kind }) => metrics.count('gateway_broken_holdings_total', { kind }),
+    });
     this.load = new EventLoopLoad({ sample: () => options.loopTimes() });
     this.saturation = new Saturation({
-      onStart: () => log.write('entrySaturated', { active: this.openResponses.size }),
+      onStart: () => log.write('entrySaturated', { active: this.openRequests.size }),
       onEnd: ({ durationMs, calls, abandoned }) =>
         log.write('saturationEnded', { durationMs: Math.round(durationMs), calls, abandoned }),
     });
@@ -146,14 +154,18 @@
       suspects: this.suspects,
       rateLimits,
       headerCodec,
+      held: this.held,
       clock,
       log,
       metrics,
       stalenessMs,
     });
-    this.calls = new CallForwarder({ attempts, headerCodec });
-    this.turns = new TurnForwarder({ attempts, headerCodec, turns });
+    this.calls = new CallForwarder({ attempts, headerCodec, held: this.held });
+    this.turns = new TurnForwarder({ attempts, headerCodec, held: this.held, turns });
     const { address, readyAddress, sharing } = options;
+    const { stopPlan } = this;
+    const version = () => this.configurationVersion;
+    this.endedConnections = new EndedConnections({ log, metrics, clock, stopPlan, version });
     this.server = new CallerServer({
       address,
       readyAddress,
@@ -163,7 +175,8 @@
       sharing,
       serve: (message, response) => this.serve(message, response),
       isReady: () => this.isReady,
-      version: () => this.configurationVersion,
+      endedConnections: this.endedConnections,
+      version,
       longestTimeoutMs: () => this.table?.longestTimeoutMs ?? 0,
     });
     this.registerGauges();
@@ -214,7 +227,7 @@
 
   /** Number of requests that are not answered yet, with the connections relayed to other entries. */
   get activeRequests(): number {
-    return this.openResponses.size + this.server.relayedConnections;
+    return this.openRequests.size + this.server.relayedConnections;
   }
 
   /** Milliseconds since the last request was accepted. */
@@ -225,14 +238,17 @@
   /** Reports this entry as not ready, closes each open connection after its next answer, and refuses
    * requests that may not end before `endsAtMs`, the clock time at which the process ends. */
   beginStop(endsAtMs: number): void {
-    this.stopPlan.begin(endsAtMs);
+    this.stopPlan.begin(this.options.clock.now(), endsAtMs);
     this.server.beginStop();
-    this.openResponses.forEach(closeAfter);
+    this.openRequests.forEach(({ response }) => closeAfter(response));
   }
 
   /** Stops listening and closes all connections. */
   async close(): Promise<void> {
     this.lag.stop();
+    this.openRequests.forEach((served) => {
+      if (!served.response.destroyed) this.endedConnections.recordRequest(served, 'process end');
+    });
     await this.server.close();
   }
 
@@ -248,7 +264,7 @@
 
   private registerGauges(): void {
     const { metrics } = this.options;
-    metrics.gauge('gateway_active_requests', 'requests under way', () => this.openResponses.size);
+    metrics.gauge('gateway_active_requests', 'requests under way', () => this.openRequests.size);
     metrics.gauge('gateway_loop_lag_ms', 'smoothed lag of the event loop', () => this.lag.ms);
     metrics.gauge(
       'gateway_loop_utilization',
@@ -268,27 +284,40 @@
       'connections relayed to other entries',
       () => this.server.relayedConnections,
     );
+    HOLDING_KINDS.forEach((kind) => {
+      metrics.gauge(`gateway_held_${kind}_bytes`, `bytes held of ${kind}s`, () =>
+        this.held.bytesOf(kind),
+      );
+    });
+    metrics.gauge(
+      'gateway_held_peak_bytes',
+      'most bytes that calls held together',
+      () => this.held.peakBytes,
+    );
   }
 
   private async serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { clock, metrics, headerCodec } = this.options;
     const requestId = headerCodec.requestIdOf(message.rawHeaders);
-    this.openResponses.add(response);
+    const { socket } = message;
+    const isKept = this.usedConnections.has(socket);
+    this.usedConnections.add(socket);
     this.saturation.countCall();
-    if (this.stopPlan.isStopping || this.server.closesAfter(message.socket)) closeAfter(response);
+    if (this.stopPlan.isStopping || this.server.closesAfter(socket)) closeAfter(response);
     const arrivedAtMs = clock.now();
     const trace = new CallTrace();
-    const served = { requestId, response, trace, arrivedAtMs };
+    const served = { requestId, message, response, trace, arrivedAtMs, isKept };
+    this.openRequests.set(response, served);
     try {
       await this.handle(message, response, arrivedAtMs, trace);
       this.recordOutcome(served, 'answered');
     } catch (error) {
       const failure = toCallError(error);
       if (response.destroyed && !response.headersSent) this.countAbandoned(arrivedAtMs);
-      this.answerError(message, response, failure, requestId);
+      this.answerError(served, failure);
       this.recordOutcome(served, failure.kind, failure);
     } finally {
-      this.openResponses.delete(response);
+      this.openRequests.delete(response);
       metrics.observe('gateway_request', {}, clock.now() - arrivedAtMs);
     }
   }
@@ -321,9 +350,12 @@
     this.refuseIfStopping(deadlineMs);
     this.lastAcceptedAtMs = clock.now();
     const caller = trackCaller(response, callTimeoutMs);
+    let holding: Holding | undefined;
     try {
       const { signal } = caller;
-      const body = await readCallerBody(message, limits, signal);
+      const read = await readCallerBody(message, { limits, held: this.held, signal });
+      holding = read.holding;
+      const { body } = read;
       // The stop may have begun meanwhile.
       this.refuseIfStopping(deadlineMs);
       const isBehind = this.lag.isBehind || this.load.utilization > BACKLOG_UTILIZATION;
@@ -334,6 +366,7 @@
         route,
         callHeaders,
         body,
+        holding,
         input: new CallInput({ host, method: message.method ?? 'GET', target, body }),
         trace,
         deadlineMs,
@@ -346,6 +379,7 @@
       if (!caller.isExpired || failure.kind === 'deadline-exceeded') throw failure;
       throw deadlinePassed(failure.execution);
     } finally {
+      holding?.close();
       caller.release();
     }
   }
@@ -409,13 +443,11 @@
     return unknownRoute(target);
   }
 
-  private answerError(
-    message: http.IncomingMessage,
-    response: http.ServerResponse,
-    error: CallError,
-    requestId: string | undefined,
-  ): void {
-    if (response.headersSent || error.kind === 'cancelled') {
+  private answerError(served: ServedRequest, error: CallError): void {
+    const { message, response, requestId } = served;
+    const reason = abortReasonOf(served, error);
+    if (reason) this.endedConnections.recordRequest(served, reason);
+    if (isAborted(served, error)) {
       abortAnswer(message, response);
       return;
     }
@@ -454,6 +486,20 @@
   }
 }
 
+/** Whether a failed request ends its connection instead of being answered. */
+function isAborted({ response }: ServedRequest, { kind }: CallError): boolean {
+  return response.headersSent || kind === 'cancelled';
+}
+
+/** Returns why this process ends the connection of a failed request; undefined if it doesn't, or if the
+ * caller has ended it. */
+function abortReasonOf(served: ServedRequest, error: CallError): EndReason | undefined {
+  const { message, response } = served;
+  if (message.errored instanceof BodyOverdue) return 'body overdue';
+  const hasCallerLeft = response.destroyed || message.socket.readableEnded;
+  return isAborted(served, error) && !hasCallerLeft ? 'answer interrupted' : undefined;
+}
+
 /** Closes the connection after an answer whose headers have not been sent yet. */
 function closeAfter(response: http.ServerResponse): void {
   response.shouldKeepAlive = false;
--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -74,7 +74,8 @@
     const { handler, clock, address, supervision = 'always' } = this.options;
     if (this.isPermanent) this.heartbeat.start();
     const onSupervised = () => this.heartbeat.start();
-    return new PeerChannel({ handler, clock, peer: address, supervision, onSupervised });
+    const isOpen = false;
+    return new PeerChannel({ handler, clock, peer: address, supervision, isOpen, onSupervised });
   }
 
   private tick(): boolean {
@@ -97,10 +98,6 @@
       // Jitter prevents all peers of a restarted process from reconnecting at the same time.
       const delayMs = backoffMs * (0.5 + Math.random() / 2);
       await clock.sleep(delayMs, this.stopController.signal).catch(() => undefined);
-      // Calls that got no reply during the delay have closed the channel before it had a stream.
-      if (this.channel.isClosed && !this.stopController.signal.aborted) {
-        this.channel = this.openChannel();
-      }
     }
   }
 
@@ -122,6 +119,7 @@
     this.stopController.signal.addEventListener('abort', stop);
     channel.onClose(stop);
     const idleCheck = this.isPermanent ? undefined : this.closeWhenIdle(channel);
+    channel.open();
     let session: PeerSession | undefined;
     try {
       const openSession = new PeerSession({ authority: baseUrl, tls: tls && readTlsFiles(tls) });
