Absence is proved by a majority of the active keepers only

A caller could get 404 for a stored turn: the reply of a keeper that is being retired, which is assigned no new turns, counted; and one of two keepers was enough, though it may not know of a newer roster under which others stored the turn. Absence now needs a majority of the active keepers. Cost: with two keepers, one of them silent, an unknown turn is answered 503, as writes are. absence.test.ts: 3 of 10 cases fail before, 10 pass after.

--- a/packages/turns/src/keeperGroup.ts
+++ b/packages/turns/src/keeperGroup.ts
@@ -17,12 +17,14 @@
 }
 
 /**
- * Returns how many keepers must report that they do not store a turn before it is certain that it
- * does not exist: together with the quorum of a committed turn, they outnumber the active ones.
+ * Returns how many active keepers must report that they do not store a turn before it is certain that it
+ * does not exist: together with the quorum of a committed turn, they outnumber the active ones. They
+ * are a majority, as fewer may not know yet of a newer roster under which the turn was written.
  */
 export function absenceQuorum(roster: Roster, lossLimit: number): number {
   const copies = quorumSize(groupSize(roster, lossLimit));
-  return Math.max(1, activeKeepers(roster).length - copies + 1);
+  const active = activeKeepers(roster).length;
+  return Math.max(quorumSize(active), active - copies + 1);
 }
 
 /** Returns the keepers that store a program in rendezvous order, spread over failure domains. */
--- a/packages/turns/src/turnReader.ts
+++ b/packages/turns/src/turnReader.ts
@@ -39,12 +39,14 @@
     const found = indexByTurn(known);
     /** Keepers that do not store the turn, by whether their reply is complete. */
     const absent = { complete: [] as string[], incomplete: [] as string[] };
-    const reads = roster.keepers.map(async ({ id, address }) => {
+    const reads = roster.keepers.map(async ({ id, address, leaving }) => {
       const { records, complete } = await this.requestChain(address, roster.version, turn);
       records.forEach((record) => found.set(record.turn, record));
       const chain = completeChain(found, turn);
       if (chain) return chain;
-      if (records.length === 0) absent[complete ? 'complete' : 'incomplete'].push(id);
+      // A keeper that is being retired is assigned no new turns, so that it proves nothing.
+      const isProof = complete && !leaving;
+      if (records.length === 0) absent[isProof ? 'complete' : 'incomplete'].push(id);
       throw keepersUnavailable(`keeper at ${address} does not store turn ${turn}`);
     });
     try {
