A keeper that replies in the round of its removal stays in the roster

Found by the model of disk losses: a keeper that has just come back was removed together with one that was still silent, as its silence was measured before its reply counted for the majority. Since the rosters state their copies, such a write waits anyway; now the keeper that replies is not part of it, so that the silent one can be removed alone.

--- a/packages/turns/src/rosterMaintainer.ts
+++ b/packages/turns/src/rosterMaintainer.ts
@@ -66,8 +66,8 @@
 
 /** Replies of the other keepers to one probe each. */
 interface ProbeReplies {
-  /** Number of keepers that replied. */
-  responding: number;
+  /** Ids of the keepers that replied. */
+  responding: Set<string>;
   /** What the keepers that replied, and this one, store, by id. */
   stored: Map<string, StoredData>;
 }
@@ -153,9 +153,13 @@
     // A keeper that reaches no majority neither joins the roster nor removes others from it.
     const others = keepers.filter(({ id }) => id !== this.options.self.id);
     const replies = await this.probeAll(others);
-    if (others.length > 0 && (1 + replies.responding) * 2 <= 1 + others.length) return true;
+    if (others.length > 0 && (1 + replies.responding.size) * 2 <= 1 + others.length) return true;
     const base = roster ?? this.readable;
-    const changed = this.mayRemove(base, wanted, replies) ? wanted : this.withSelf(keepers);
+    // A keeper that replies now is back.
+    const present = this.withSelf(
+      keepers.filter(({ id }) => !unresponsive.has(id) || replies.responding.has(id)),
+    );
+    const changed = this.mayRemove(base, present, replies) ? present : this.withSelf(keepers);
     if (!isUnreadable && sameKeepers(changed, keepers)) return true;
     const copies = this.copiesAfter(base, changed, replies);
     if (this.mustWait(base, changed, copies, replies)) return true;
@@ -164,7 +168,7 @@
       .filter(({ id }) => unresponsive.has(id) && !changed.some((keeper) => keeper.id === id))
       .forEach(({ id }) => {
         const { log, removalAfterMs: silentMs = REMOVAL_AFTER_MS } = this.options;
-        log.write('keeperRemoved', { keeper: id, silentMs, answering: replies.responding });
+        log.write('keeperRemoved', { keeper: id, silentMs, answering: replies.responding.size });
       });
     return true;
   }
@@ -276,7 +280,8 @@
         return reply;
       }),
     );
-    return { responding: replies.filter(Boolean).length, stored };
+    const responding = others.filter((_, index) => replies[index]).map(({ id }) => id);
+    return { responding: new Set(responding), stored };
   }
 
   /** Returns the keepers with this keeper's current roster record, sorted by id. */
