--- a/packages/turns/src/__tests__/keeperProtocol.test.ts
+++ b/packages/turns/src/__tests__/keeperProtocol.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
 import test from 'node:test';
-import { Worker } from 'node:worker_threads';
 import { propertyParameters } from '@marjorampin/standins';
 import type { PropertyTask, PropertyResult } from './keeperPropertyWorker';
+import { runInThread } from './propertyThread';
 import type { Mutation } from './simulatedKeepers';
 
 /** Number of runs in CI; `FAST_CHECK_RUNS=10000` selects a long run. */
@@ -11,14 +10,9 @@
 /** Runs within which a mutation must be detected; otherwise the property is too weak. */
 const MUTANT_RUNS = 4_000;
 
-async function check(mutation: Mutation, numRuns: number): Promise<PropertyResult> {
+function check(mutation: Mutation, numRuns: number): Promise<PropertyResult> {
   const task: PropertyTask = { mutation, seed, numRuns };
-  const { href: module } = new URL('./keeperPropertyWorker.ts', import.meta.url);
-  const loader = new URL('./typescriptWorker.mjs', import.meta.url);
-  const worker = new Worker(loader, { workerData: { ...task, module } });
-  const [result] = await once(worker, 'message');
-  await worker.terminate();
-  return result as PropertyResult;
+  return runInThread('./keeperPropertyWorker.ts', task);
 }
 
 test('committed turns stay readable and budgets are never exceeded despite lost or delayed messages, crashes, lost disks and broken links', async () => {
