The model of lost disks: first starts, removed keepers, turns without an end

Scenarios may begin with the first start of all keepers, a keeper may be removed without a successor, and turns whose caller got no end are followed.

--- a/packages/turns/src/__tests__/diskLossProperty.ts
+++ b/packages/turns/src/__tests__/diskLossProperty.ts
@@ -22,6 +22,8 @@
 /** Interval at which turns are continued while time passes. */
 const PROBE_INTERVAL_MS = 700;
 const PROBE_TIMEOUT_MS = 4_000;
+/** Time in which turns are decided when all keepers are complete. */
+const DECISION_MS = 2_000;
 const RETRY_MS = 200;
 
 /** A step of a scenario; `pauseMs` is the time until the next one. */
@@ -44,9 +46,16 @@
   | { action: 'add' | 'recover' | 'restart entries' }
 );
 
+type Undecided = 'ignored' | 'continued' | 'kept';
+
 /** A deployment and what happens to it. */
 export interface Scenario {
   deployment: Deployment;
+  /** Whether the steps begin with the first start of the keepers. */
+  isEarly?: boolean;
+  /** What happens to turns whose caller got no end and that are found later: nothing, further turns
+   * continue them, or they also have to be found from then on. */
+  undecided?: Undecided;
   steps: Step[];
 }
 
@@ -66,6 +75,12 @@
 
   private readonly acknowledged: Turn[] = [];
 
+  /** Turns whose caller got no end. */
+  private readonly undecided = new Map<string, Turn>();
+
+  /** Whether an undecided turn was found when all keepers were complete. */
+  private readonly decisions = new Map<string, boolean>();
+
   private readonly usedTokens = new Map<string, number>();
 
   private readonly failures: unknown[] = [];
@@ -76,13 +91,19 @@
 
   private probeEndsAtMs = 0;
 
-  constructor(deployment: Deployment, mutation: KeeperMutation) {
+  /** Turns without an end that are continued, but may be lost. */
+  private readonly found: Turn[] = [];
+
+  private readonly mode: Undecided;
+
+  constructor({ deployment, undecided = 'ignored' }: Scenario, mutation: KeeperMutation) {
     this.keepers = new DisruptedKeepers(deployment, mutation);
+    this.mode = undecided;
   }
 
-  async run(steps: Step[]): Promise<void> {
+  async run({ steps, isEarly = false }: Scenario): Promise<void> {
     try {
-      await this.keepers.start();
+      await this.keepers.start({ isEarly });
       for (const step of steps) {
         await this.runStep(step);
         await this.pass(step.pauseMs);
@@ -181,6 +202,34 @@
     while (!isRead) await keepers.advance(RETRY_MS);
     await keepers.advance(1);
     this.throwFailure();
+    if (this.mode !== 'ignored') await this.decideTurns();
+  }
+
+  /** Continues turns whose caller got no end through all entries; they go either way for good. */
+  private async decideTurns(): Promise<void> {
+    const { keepers, undecided, decisions } = this;
+    const checks = [...undecided.values()].flatMap(({ id, program }) =>
+      keepers.entries.map(async ({ continuations }) => {
+        this.turnCount += 1;
+        const turn = `after ${id} ${this.turnCount}`;
+        const request = { program, turn, tokens: 0, budget: Infinity, retentionMs: RETENTION_MS };
+        const outcome = await continuations.reserve({ ...request, previous: id }).then(
+          () => 'found',
+          (error: unknown) => toCallError(error).kind,
+        );
+        if (outcome === 'keepers-unavailable') return;
+        const isFound = outcome === 'found';
+        const earlier = decisions.get(id) ?? isFound;
+        decisions.set(id, isFound);
+        if (this.mode === 'kept') assert.equal(isFound, earlier, `turn ${id} is now ${outcome}`);
+      }),
+    );
+    checks.forEach((check) => this.background(check));
+    await keepers.advance(DECISION_MS);
+    this.throwFailure();
+    const found = [...undecided.values()].filter(({ id }) => decisions.get(id));
+    found.forEach(({ id }) => undecided.delete(id));
+    (this.mode === 'kept' ? this.acknowledged : this.found).push(...found);
   }
 
   /** Returns whether a turn that continues this one may run; fails unless it may or may later. */
@@ -219,7 +268,7 @@
     this.turnCount += 1;
     const id = `t${this.turnCount}`;
     const program = `p${step.program}`;
-    const earlier = acknowledged.filter((turn) => turn.program === program);
+    const earlier = [...acknowledged, ...this.found].filter((turn) => turn.program === program);
     const previous = earlier[earlier.length - step.continues];
     const { tokens } = step;
     const reservation = {
@@ -250,13 +299,18 @@
       outputTokens: tokens,
       retentionMs: RETENTION_MS,
     });
+    this.undecided.set(id, { id, program, ancestors });
     const isCommitted = await store.commit(record, chain).then(
       () => true,
       () => false,
     );
     if (link) keepers.network.brokenLinks.delete(link);
-    if (isCommitted) acknowledged.push({ id, program, ancestors });
-    else store.settle(request, tokens);
+    if (!isCommitted) {
+      store.settle(request, tokens);
+      return;
+    }
+    this.undecided.delete(id);
+    acknowledged.push({ id, program, ancestors });
   }
 
   private background(task: Promise<void>): void {
@@ -270,14 +324,14 @@
 
 /** Runs one scenario on an implementation with the given mutation. */
 export async function runScenario(
-  { deployment, steps }: Scenario,
+  scenario: Scenario,
   mutation: KeeperMutation = 'none',
 ): Promise<void> {
   // Random delays would keep a failure from being repeated.
   const { random } = Math;
   Object.assign(Math, { random: pseudoRandom() });
   try {
-    await new ScenarioRun(deployment, mutation).run(steps);
+    await new ScenarioRun(scenario, mutation).run(scenario);
   } finally {
     Object.assign(Math, { random });
   }
@@ -314,6 +368,7 @@
   'wipe',
   'wipe',
   'replace',
+  'remove',
   'freeze',
   'cut off',
   'cut from store',
@@ -364,13 +419,17 @@
 
 /** Turns, then disruptions and further turns. At most `lossLimit` disks are lost before all are
  * restored: steps that would exceed it have no effect. */
-const scenarioArbitrary: fc.Arbitrary<Scenario> = fc
+export const scenarioArbitrary: fc.Arbitrary<Scenario> = fc
   .record({
     deployment: fc.constantFrom(...DEPLOYMENTS),
+    isEarly: fc.constantFrom(false, false, false, false, true),
     turns: fc.array(turnArbitrary, { minLength: 1, maxLength: 4 }),
     disruptions: fc.array(stepArbitrary, { maxLength: 9 }),
   })
-  .map(({ deployment, turns, disruptions }) => ({ deployment, steps: [...turns, ...disruptions] }));
+  .map(({ turns, disruptions, ...scenario }) => ({
+    ...scenario,
+    steps: [...turns, ...disruptions],
+  }));
 
 /** Returns the property for an implementation with the given mutation. */
 export function diskLossProperty(mutation: KeeperMutation) {
--- a/packages/turns/src/__tests__/diskLosses.test.ts
+++ b/packages/turns/src/__tests__/diskLosses.test.ts
@@ -18,9 +18,10 @@
 const FOUR = { keepers: 4, domains: 2, lossLimit: 1 };
 const SIX = { keepers: 6, domains: 3, lossLimit: 2 };
 const [A, B, C] = [0, 1, 2] as const;
+const NONE = -1;
 
 /** A turn that one keeper misses. */
-const turnWithout = (without: number, program = 0): Step => ({
+const turnWithout = (without: number, program = 0): Extract<Step, { action: 'turn' }> => ({
   action: 'turn',
   entry: 0,
   program,
@@ -34,6 +35,17 @@
 /** Three turns, each of which another keeper misses. */
 const TURNS = [turnWithout(A), turnWithout(B, 1), turnWithout(C, 2)];
 
+/** A turn whose commit reaches one keeper only, and the end of all disruptions. */
+const TURN_AT_ONE_KEEPER: Step[] = [
+  { ...turnWithout(NONE), workMs: 500, pauseMs: 300 },
+  { action: 'freeze', keeper: B, forMs: 15_000, pauseMs: 0 },
+  { action: 'freeze', keeper: C, forMs: 15_000, pauseMs: 3_000 },
+  { action: 'kill', keeper: B, forMs: 1_000, pauseMs: 0 },
+  { action: 'kill', keeper: C, forMs: 1_000, pauseMs: 0 },
+  { action: 'recover', pauseMs: 0 },
+];
+const LOSS_OF_A: Step[] = [{ action: 'wipe', keeper: A, forMs: 0, pauseMs: 0 }];
+
 /** Scenarios after which every turn goes on, and during which none is reported as unknown. */
 const CASES: (Scenario & { name: string })[] = [
   ...[3_000, 6_600, 15_000].flatMap((forMs) =>
@@ -182,6 +194,31 @@
       { action: 'kill', keeper: C, forMs: 15_000, pauseMs: 25_000 },
     ],
   },
+  {
+    name: 'a keeper loses its disk during the first start',
+    deployment: THREE,
+    isEarly: true,
+    steps: [
+      { ...turnWithout(A), pauseMs: 5 },
+      { action: 'wipe', keeper: A, forMs: 0, pauseMs: 0 },
+    ],
+  },
+  {
+    name: 'a turn without an end that was found stays when the only keeper that stores it is lost',
+    deployment: THREE,
+    undecided: 'kept',
+    steps: [...TURN_AT_ONE_KEEPER, ...LOSS_OF_A],
+  },
+  {
+    name: 'a turn that continues one without an end goes on when the keeper of that one is lost',
+    deployment: THREE,
+    undecided: 'continued',
+    steps: [
+      ...TURN_AT_ONE_KEEPER,
+      { ...turnWithout(NONE), continues: 1, pauseMs: 1_000 },
+      ...LOSS_OF_A,
+    ],
+  },
 ];
 
 const results = check({ scenarios: CASES });
--- a/packages/turns/src/__tests__/disruptedKeepers.ts
+++ b/packages/turns/src/__tests__/disruptedKeepers.ts
@@ -22,6 +22,8 @@
 const READ_TIMES = { intervalMs: 500, gatheringMs: 100, timeoutMs: 300 };
 /** Time after the end of a retirement at which its host is switched off. */
 const SWITCH_OFF_MS = 10;
+/** Time for the first start of all keepers. */
+const START_MS = 60_000;
 /** Interval at which a state is awaited. */
 const CHECK_MS = 50;
 
@@ -37,11 +39,11 @@
 
 /** A disruption of one keeper. */
 export type HostFault =
-  'kill' | 'power loss' | 'wipe' | 'replace' | 'freeze' | 'cut off' | 'cut from store';
+  'kill' | 'power loss' | 'wipe' | 'replace' | 'remove' | 'freeze' | 'cut off' | 'cut from store';
 
 /** Faults that leave the process in memory. */
 const RUNNING_FAULTS = new Set<HostFault>(['freeze', 'cut off', 'cut from store']);
-const DISK_LOSSES = new Set<HostFault>(['wipe', 'replace']);
+const DISK_LOSSES = new Set<HostFault>(['wipe', 'replace', 'remove']);
 
 /** Numbers of keepers and of failure domains. */
 export interface Deployment {
@@ -137,6 +139,9 @@
 
   private readonly mutation: KeeperMutation;
 
+  /** Ids of removed keepers without a successor. */
+  private readonly removed: string[] = [];
+
   private storeFaults = 0;
 
   private addedKeepers = 0;
@@ -147,12 +152,14 @@
     this.applyMutation();
   }
 
-  /** Starts all keepers and entries with empty disks; resolves once all keepers are complete. */
-  async start(): Promise<void> {
+  /** Starts all keepers and entries with empty disks; resolves once all keepers are complete, or at
+   * once for turns and disruptions during the first start. */
+  async start({ isEarly = false } = {}): Promise<void> {
     const { keepers, domains } = this.deployment;
     for (let index = 0; index < keepers; index += 1) this.addKeeper({ isFirstStart: true });
     for (let index = 0; index < Math.max(2, domains); index += 1) this.addEntry();
-    await this.untilWhole(60_000);
+    if (isEarly) return;
+    await this.untilWhole(START_MS);
     await this.advance(2 * READ_TIMES.intervalMs);
   }
 
@@ -185,7 +192,10 @@
     const versions = this.keepers.map(({ keeper }) => handlerOf(keeper)?.roster?.version);
     const areCurrent = versions.every((version) => version === roster?.version);
     const isWhole = areCurrent && this.keepers.every(({ keeper }) => keeper?.isComplete);
-    if (isWhole) this.lostDisks.clear();
+    if (isWhole) {
+      this.lostDisks.clear();
+      this.removed.forEach((id) => this.lostDisks.add(id));
+    }
     return isWhole;
   }
 
@@ -260,6 +270,8 @@
     const id = String.fromCharCode('a'.charCodeAt(0) + this.addedKeepers);
     const domain = `zone-${this.addedKeepers % this.deployment.domains}`;
     this.addedKeepers += 1;
+    // The added keeper is the successor of a removed one.
+    this.removed.shift();
     const orders = new SimulatedOrders();
     const added: DisruptedKeeper = {
       id,
@@ -383,6 +395,9 @@
     if (fault === 'power loss') disk.failPower();
     if (DISK_LOSSES.has(fault)) Object.assign(keeper, { disk: new SimulatedDisk() });
     if (fault === 'replace') Object.assign(keeper, { host: this.network.createHost() });
+    if (fault !== 'remove') return;
+    this.keepers.splice(this.keepers.indexOf(keeper), 1);
+    this.removed.push(keeper.id);
   }
 
   private recover(keeper: DisruptedKeeper): void {
