The model of lost disks: continuations in another program, stronger mutations

A turn is also continued in a program that other keepers store; a refused link fails at once, so that a lost commit is soon replaced; the mutation of a wiped keeper keeps the state file, and one forgets lost disks in the roster.

--- a/packages/turns/src/__tests__/diskLossProperty.ts
+++ b/packages/turns/src/__tests__/diskLossProperty.ts
@@ -25,6 +25,7 @@
 /** Time in which turns are decided when all keepers are complete. */
 const DECISION_MS = 2_000;
 const RETRY_MS = 200;
+const OTHER_PROGRAM = 'q';
 
 /** A step of a scenario; `pauseMs` is the time until the next one. */
 export type Step = { pauseMs: number } & (
@@ -238,7 +239,9 @@
     if (!store) return false;
     this.turnCount += 1;
     const turn = `after ${id} ${this.turnCount}`;
-    const request = { program, turn, tokens: 0, budget: Infinity, retentionMs: RETENTION_MS };
+    // A turn may also go on in another program, which other keepers store.
+    const next = this.turnCount % 2 === 0 ? program : OTHER_PROGRAM;
+    const request = { program: next, turn, tokens: 0, budget: Infinity, retentionMs: RETENTION_MS };
     const chain = await this.reserve(store, { ...request, previous: id });
     if (!chain) return false;
     assert.deepEqual(
--- a/packages/turns/src/__tests__/disruptedKeepers.ts
+++ b/packages/turns/src/__tests__/disruptedKeepers.ts
@@ -32,7 +32,8 @@
 /** Defects of an implementation, each of which the property must detect. */
 export type KeeperMutation =
   | 'none'
-  | 'counts no removed keeper as missing'
+  | 'counts no lost disk as missing'
+  | 'counts one copy too many'
   | 'treats a wiped keeper as intact'
   | 'proves absence by one reply'
   | 'acknowledges lost commits';
@@ -45,6 +46,9 @@
 const RUNNING_FAULTS = new Set<HostFault>(['freeze', 'cut off', 'cut from store']);
 const DISK_LOSSES = new Set<HostFault>(['wipe', 'replace', 'remove']);
 
+/** File in which a keeper states which data its disk stores. */
+const STATE_FILE = 'keeper.json';
+
 /** Numbers of keepers and of failure domains. */
 export interface Deployment {
   keepers: number;
@@ -53,6 +57,23 @@
   lossLimit: number;
 }
 
+/** Part of the stored roster. */
+interface StoredRoster {
+  keepers: { id: string; disk: string }[];
+  holders: { id: string; disk: string; missingSinceMs: number }[];
+  minimumCopies: number;
+}
+
+/** Rosters that mutations write. */
+const ROSTER_CHANGES: Partial<
+  Record<KeeperMutation, (roster: StoredRoster) => Partial<StoredRoster>>
+> = {
+  'counts no lost disk as missing': ({ keepers }) => ({
+    holders: keepers.map(({ id, disk }) => ({ id, disk, missingSinceMs: 0 })),
+  }),
+  'counts one copy too many': ({ minimumCopies }) => ({ minimumCopies: minimumCopies + 1 }),
+};
+
 /** Replies that mutations invent or change. */
 const FORGERIES: Partial<Record<KeeperMutation, Tamper>> = {
   'proves absence by one reply': (body, reply) => {
@@ -347,7 +368,7 @@
   }
 
   private run(started: DisruptedKeeper): void {
-    const { network, log, mutation } = this;
+    const { network, log } = this;
     const { id, domain, host, disk, orders: retirement } = started;
     const process = network.startProcess(host);
     const { clock } = process;
@@ -357,7 +378,7 @@
       domain,
       address: host.address,
       folder,
-      isFirstStart: started.isFirstStart || mutation === 'treats a wiped keeper as intact',
+      isFirstStart: started.isFirstStart,
       lossLimit: this.deployment.lossLimit,
       store: new HostStore(network, process),
       readTimes: READ_TIMES,
@@ -393,7 +414,9 @@
     if (RUNNING_FAULTS.has(fault)) return;
     endKeeper(keeper, { isSilent: fault !== 'kill' });
     if (fault === 'power loss') disk.failPower();
-    if (DISK_LOSSES.has(fault)) Object.assign(keeper, { disk: new SimulatedDisk() });
+    const isStateKept = this.mutation === 'treats a wiped keeper as intact';
+    const emptied = isStateKept ? disk.emptiedExcept(STATE_FILE) : new SimulatedDisk();
+    if (DISK_LOSSES.has(fault)) Object.assign(keeper, { disk: emptied });
     if (fault === 'replace') Object.assign(keeper, { host: this.network.createHost() });
     if (fault !== 'remove') return;
     this.keepers.splice(this.keepers.indexOf(keeper), 1);
@@ -410,10 +433,11 @@
 
   private applyMutation(): void {
     const { mutation, network } = this;
-    if (mutation === 'counts no removed keeper as missing') {
+    const change = ROSTER_CHANGES[mutation];
+    if (change) {
       network.tamperWrite = (write) => {
-        const value = { ...JSON.parse(write.value), missing: [] };
-        return { ...write, value: JSON.stringify(value) };
+        const roster = JSON.parse(write.value) as StoredRoster;
+        return { ...write, value: JSON.stringify({ ...roster, ...change(roster) }) };
       };
     }
     network.tamper = FORGERIES[mutation];
--- a/packages/turns/src/__tests__/simulatedDisk.ts
+++ b/packages/turns/src/__tests__/simulatedDisk.ts
@@ -28,6 +28,15 @@
 
   private syncedNames = new Map<string, SimulatedFile>();
 
+  /** Returns an empty disk with one file of this one, for a mutation. */
+  emptiedExcept(name: string): SimulatedDisk {
+    const emptied = new SimulatedDisk();
+    const file = this.files.get(name);
+    if (file) emptied.syncFile(name, { ...file });
+    emptied.failPower();
+    return emptied;
+  }
+
   /** Drops what was not synced. */
   failPower(): void {
     this.files = new Map(this.syncedNames);
@@ -45,7 +54,7 @@
   /** Makes the content and the name of a file durable. */
   syncFile(name: string, file: SimulatedFile): void {
     Object.assign(file, { syncedBytes: file.bytes });
-    if (this.files.get(name) === file) this.syncedNames.set(name, file);
+    if ((this.files.get(name) ?? file) === file) this.syncedNames.set(name, file);
   }
 }
 
--- a/packages/turns/src/__tests__/simulatedHosts.ts
+++ b/packages/turns/src/__tests__/simulatedHosts.ts
@@ -159,7 +159,7 @@
   /** Hosts by address, `IP:port`. */
   readonly hosts = new Map<string, SimulatedHost>();
 
-  /** Pairs of addresses between which requests are lost, `from to`. */
+  /** Pairs of addresses between which no connection can be opened, `from to`. */
   readonly brokenLinks = new Set<string>();
 
   tamper: Tamper | undefined;
@@ -214,16 +214,11 @@
     const bytes = toBinary(RequestSchema, create(RequestSchema, { body: body as never }));
     await this.clock.sleep(MESSAGE_MS);
     const to = this.hosts.get(address);
-    const isLost = () =>
-      !to ||
-      from.isEnded ||
-      from.host.isCutOff ||
-      to.isCutOff ||
-      to.isSilent ||
-      this.brokenLinks.has(`${nameOf(from.host)} ${address}`);
+    const isLost = () => !to || from.isEnded || from.host.isCutOff || to.isCutOff || to.isSilent;
     if (!to || isLost()) return never();
     const { process: receiver, handler } = to;
-    if (!receiver || !handler) throw connectionLost(address);
+    const isRefused = this.brokenLinks.has(`${nameOf(from.host)} ${address}`);
+    if (!receiver || !handler || isRefused) throw connectionLost(address);
     await receiver.untilRunning();
     const handled = await handler.handle(fromBinary(RequestSchema, bytes));
     const reply = toBinary(ReplySchema, create(ReplySchema, handled));
