--- a/packages/turns/src/__tests__/diskLossWorker.ts
+++ b/packages/turns/src/__tests__/diskLossWorker.ts
@@ -7,7 +7,7 @@
 
 /** Input of the worker: scenarios, or the seed and number of random ones. */
 export type DiskLossTask =
-  | { scenarios: Scenario[] }
+  | { scenarios: Scenario[]; mutation?: KeeperMutation }
   | { mutation: KeeperMutation; seed: number; numRuns: number; shrinks: boolean };
 
 /** Result of each scenario, or of all random ones; `report` contains the seed, path and scenario of a failure. */
@@ -19,8 +19,11 @@
 // The property is checked with many failed calls, whose stacks nobody reads.
 Error.stackTraceLimit = 0;
 
-async function checkScenario(scenario: Scenario): Promise<DiskLossResult> {
-  return runScenario(scenario).then(
+async function checkScenario(
+  scenario: Scenario,
+  mutation: KeeperMutation = 'none',
+): Promise<DiskLossResult> {
+  return runScenario(scenario, mutation).then(
     () => ({ failed: false, report: '' }),
     (error: unknown) => ({ failed: true, report: String(error) }),
   );
@@ -29,7 +32,8 @@
 async function check(task: DiskLossTask): Promise<DiskLossResult[]> {
   if ('scenarios' in task) {
     const results: DiskLossResult[] = [];
-    for (const scenario of task.scenarios) results.push(await checkScenario(scenario));
+    for (const scenario of task.scenarios)
+      {results.push(await checkScenario(scenario, task.mutation));}
     return results;
   }
   const { mutation, seed, numRuns, shrinks } = task;
