--- a/packages/turns/src/__tests__/diskLossWorker.ts
+++ b/packages/turns/src/__tests__/diskLossWorker.ts
@@ -32,8 +32,9 @@
 async function check(task: DiskLossTask): Promise<DiskLossResult[]> {
   if ('scenarios' in task) {
     const results: DiskLossResult[] = [];
-    for (const scenario of task.scenarios)
-      {results.push(await checkScenario(scenario, task.mutation));}
+    for (const scenario of task.scenarios) {
+      results.push(await checkScenario(scenario, task.mutation));
+    }
     return results;
   }
   const { mutation, seed, numRuns, shrinks } = task;
