--- a/packages/turns/src/__tests__/diskLossProperty.ts
+++ b/packages/turns/src/__tests__/diskLossProperty.ts
@@ -303,7 +303,7 @@
       retentionMs: RETENTION_MS,
     });
     this.undecided.set(id, { id, program, ancestors });
-    const isCommitted = await store.commit(record, chain).then(
+    const isCommitted = await store.commit(record, { chain }).then(
       () => true,
       () => false,
     );
