A long chain leaves the answers of other calls whole

Cause: the turns that a turn continues were added to its protected input without a check. A chain larger than the limit kept the account above it for as long as the turn ran, so that each other answer was broken off as it grew.

Fix: what can be broken off keeps its share of the limit, whatever inputs hold. A chain is admitted beside other inputs only if there is room, and refused as not run otherwise; alone, it may exceed the limit, as it could never run else.

--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -6,6 +6,7 @@
 import { holdUnsent, relayAnswer, type RelayContext, relayStream } from './answerRelay';
 import type { CallerRequest } from './callerRequest';
 import type { ProgramHeaders } from './headerCodec';
+import { inputsTooLarge } from './gatewayErrors';
 import type { EndpointAttempts } from './endpointAttempts';
 import type { EndpointAnswer } from './endpointExchange';
 import { EventReader } from './eventReader';
@@ -87,9 +88,11 @@
       contextTokens: callHeaders.promptTokens,
       lastEventId: () => events.lastEventId,
     };
-    if (context.length > 0) request.holding?.resize(body.length + outgoing.body.length);
+    const inputBytes = body.length + outgoing.body.length;
     let wasAnswered = false;
     try {
+      const isAdmitted = context.length === 0 || (request.holding?.grow(inputBytes) ?? true);
+      if (!isAdmitted) throw inputsTooLarge(this.options.held);
       await this.options.attempts.run(request, outgoing, (answer, endpoint) => {
         wasAnswered = true;
         return this.handleAnswer(turn, answer, endpoint);
--- a/packages/http/src/byteAccount.ts
+++ b/packages/http/src/byteAccount.ts
@@ -33,8 +33,9 @@
 
 /** What a holding reports to. */
 interface HoldingAccount {
-  /** Whether an input of this size can be protected together with those that are. */
-  hasRoomFor(inputBytes: number): boolean;
+  /** Whether an input of this size, of which `countedBytes` are protected already, can be protected
+   * together with the others. */
+  hasRoomFor(inputBytes: number, countedBytes?: number): boolean;
   /** Called when the size of a holding changes. */
   change(kind: HoldingKind, bytes: number): void;
   /** Called when the bytes change that have to be held until their call is completed. */
@@ -92,6 +93,14 @@
     return true;
   }
 
+  /** Sets the number of bytes of a protected holding; returns false, without a change, if there is no room for
+   * them beside the other protected ones. */
+  grow(bytes: number): boolean {
+    if (!this.account.hasRoomFor(bytes, this.heldBytes)) return false;
+    this.resize(bytes);
+    return true;
+  }
+
   /** Releases all bytes; further changes have no effect. */
   close(): void {
     if (this.isClosed) return;
@@ -144,9 +153,13 @@
     return this.sums[kind];
   }
 
-  /** Whether an input of this size can be protected together with those that are. */
-  hasRoomFor(inputBytes: number): boolean {
-    return this.protectedTotal + inputBytes <= this.limitBytes * (1 - ANSWER_SHARE);
+  /** Whether an input of this size, of which `countedBytes` are protected already, can be protected
+   * together with the others. The only protected one may be larger than the limit: it could never run
+   * otherwise. */
+  hasRoomFor(inputBytes: number, countedBytes = 0): boolean {
+    const others = this.protectedTotal - countedBytes;
+    if (countedBytes > 0 && others === 0) return true;
+    return others + inputBytes <= this.limitBytes * (1 - ANSWER_SHARE);
   }
 
   /** Called by a holding when the bytes change that have to be held until their call is completed. */
@@ -174,7 +187,7 @@
   }
 
   private recordPeak(): void {
-    while (this.total > this.limitBytes) {
+    while (this.total > this.limitBytes && this.exceedsAnswerShare) {
       const largest = this.largestBreakable();
       if (!largest) break;
       this.breakOff(largest);
@@ -183,6 +196,11 @@
     this.peak = Math.max(this.peak, Math.min(this.total, this.limitBytes));
   }
 
+  /** Whether what can be broken off takes more than is left to it by the largest inputs. */
+  private get exceedsAnswerShare(): boolean {
+    return this.total - this.protectedTotal > this.limitBytes * ANSWER_SHARE;
+  }
+
   private breakOff(holding: Holding): void {
     const { kind, bytes } = holding;
     const { limitBytes } = this;
