Calls that were cancelled before their stream opened are not sent

Found by review (staleFrames.test.ts): after an outage, a peer got all requests that had been given up during the last wait.

Fix: the frames of a call that is cancelled before the stream is open are removed from the queue.

--- a/packages/protocol/src/frameQueue.ts
+++ b/packages/protocol/src/frameQueue.ts
@@ -23,6 +23,11 @@
     this.signal();
   }
 
+  /** Removes the frames of a call that have not been taken. */
+  remove(call: number): void {
+    this.frames = this.frames.filter((frame) => frame.call !== call);
+  }
+
   /** Ends the stream once the queued frames are sent. */
   close(): void {
     this.closed = true;
--- a/packages/protocol/src/peerChannel.ts
+++ b/packages/protocol/src/peerChannel.ts
@@ -375,7 +375,9 @@
   private cancelCall(number: number, error: CallError): void {
     const call = this.removeCall(number);
     if (!call) return;
-    this.push({ call: number, body: { case: 'cancel', value: {} } });
+    // Before the stream is open, the peer knows nothing of the call.
+    if (this.openSinceMs === Infinity) this.outgoing.remove(number);
+    else this.push({ call: number, body: { case: 'cancel', value: {} } });
     call.reject(error);
   }
 
