Turns are copied and renewed in messages of limited size

Found by review: 80 turns of 0.9 MB could not be restored after the loss of a disk (largeTurnsRestored.test.ts; a client refuses messages above 64 MiB since, and 100 turns were one message); a turn that continues 20 turns of 1 MB of another program was not stored before its deadline, and the connections of its entry were closed (longRenewal.test.ts; 16 MiB).

Cause: messages were limited by the number of turns, not by their size.

Fix: a reply with copied turns ends above 1 MiB and says so, and the receiver requests the rest. Ancestors are sent with several commits of 4 MiB.

--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -5,6 +5,7 @@
   type AcquirePermit,
   type CommitTurn,
   type CopyPrograms,
+  type CopyTurns,
   type EndpointReport,
   type KeptEvent,
   KeptEventSchema,
@@ -27,6 +28,7 @@
 import { PermitTable } from './permitTable';
 import type { ProgramTable } from './programTable';
 import { fromRateLimitMessage, toRateLimitMessage } from './rateLimitMessage';
+import { firstBatch } from './recordBatches';
 import { isAssigned } from './restoration';
 
 /** Retry delay sent to callers before the roster is read; a starting keeper reads it within this
@@ -126,10 +128,8 @@
         return this.newerRosterReply(body.value.rosterVersion) ?? this.read(body.value);
       case 'copyPrograms':
         return this.copy(body.value);
-      case 'copyTurns': {
-        const records = this.options.table.records(body.value.turns);
-        return { body: { case: 'turnChain', value: { records, complete: this.isIntact } } };
-      }
+      case 'copyTurns':
+        return this.copyTurns(body.value);
       case 'listValues':
         return this.listValues();
       case 'acquirePermit':
@@ -308,6 +308,13 @@
     return { body: { case: 'entryLoads', value: { loads: this.loads.exchange(load) } } };
   }
 
+  private copyTurns({ turns, maximumBytes }: CopyTurns): ReplyInit {
+    const stored = this.options.table.records(turns);
+    const records = maximumBytes > 0 ? firstBatch(stored, maximumBytes) : stored;
+    const hasMore = records.length < stored.length;
+    return { body: { case: 'turnChain', value: { records, complete: this.isIntact, hasMore } } };
+  }
+
   private copy({ roster, receiver, after }: CopyPrograms): ReplyInit {
     if (!roster) throw missing('roster');
     this.adopt(roster);
--- a/packages/turns/src/restoration.ts
+++ b/packages/turns/src/restoration.ts
@@ -19,8 +19,9 @@
 /** Timeout for one page of a copy; a page of `PAGE_BYTES` crosses a slow link in less time. */
 const PAGE_TIMEOUT_MS = 2_000;
 
-/** Turns per request: at a few kilobytes each, well below the size limit of a message. */
+/** Turns per request, and the size above which a reply lacks the rest of them. */
 const TURNS_PER_COPY = 100;
+const BYTES_PER_COPY = 1024 * 1024;
 
 /** What a restoration counted. */
 export interface RestorationResult {
@@ -121,15 +122,19 @@
   { peers, importTurns }: RestorationOptions,
 ): Promise<boolean> {
   let isIntact = true;
-  for (let start = 0; start < missing.length; start += TURNS_PER_COPY) {
-    const turns = missing.slice(start, start + TURNS_PER_COPY);
+  let rest = missing;
+  while (rest.length > 0) {
+    const turns = rest.slice(0, TURNS_PER_COPY);
+    const value = { turns, maximumBytes: BYTES_PER_COPY };
     const reply = await peers
       .get(address)
-      .call({ case: 'copyTurns', value: { turns } }, { progressTimeoutMs: PAGE_TIMEOUT_MS });
+      .call({ case: 'copyTurns', value }, { progressTimeoutMs: PAGE_TIMEOUT_MS });
     if (reply.body.case !== 'turnChain') throw new Error(`keeper ${id} did not return its turns`);
-    const { records, complete } = reply.body.value;
+    const { records, complete, hasMore } = reply.body.value;
     await importTurns(records);
     isIntact = isIntact && complete;
+    const last = hasMore ? turns.indexOf(records.at(-1)?.turn ?? '') : turns.length - 1;
+    rest = rest.slice(last + 1);
   }
   return isIntact;
 }
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -3,6 +3,7 @@
 import { ExhaustedBudgets } from './exhaustedBudgets';
 import { GroupClient, type GroupClientOptions, type GroupRequest } from './groupClient';
 import { keepersUnavailable } from './keepersUnavailable';
+import { recordBatches } from './recordBatches';
 import { RENEWAL_AGE_MS } from './retention';
 import { TurnCache } from './turnCache';
 import { completeChain } from './turnChain';
@@ -12,6 +13,9 @@
 const MAXIMUM_SETTLE_ATTEMPTS = 6;
 const SETTLE_RETRY_DELAY_MS = 250;
 
+/** Size of the ancestors that are sent with one commit, well below the size limit of a message. */
+const RENEWAL_BYTES = 4 * 1024 * 1024;
+
 /** Tokens that a turn reserves before it runs. */
 export interface TurnReservation {
   program: string;
@@ -130,8 +134,10 @@
     const needsRenewal = (ancestor: TurnRecord) =>
       ancestor.program !== program || committedAtMs - ancestor.committedAtMs > RENEWAL_AGE_MS;
     if (!ancestors.some(needsRenewal)) return;
-    const renewal: GroupRequest = { case: 'commitTurn', value: { record, ancestors } };
-    await this.group.send(program, renewal, retries);
+    for (const batch of recordBatches(ancestors, RENEWAL_BYTES)) {
+      const renewal: GroupRequest = { case: 'commitTurn', value: { record, ancestors: batch } };
+      await this.group.send(program, renewal, retries);
+    }
   }
 
   /** Replaces a turn's reservation with the tokens it used; if all attempts fail, it stays. */
