A keeper that has copied its data under a roster keeps that roster over a restart

Cause: a roster was written to disk only with a completed restoration.

Fix: it is written before the copy is sent; the writes of the state file follow one another. A keeper whose disk refuses the write remains a source, as nobody could restore otherwise; the failure is logged.

--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -47,6 +47,8 @@
   hash: Hash;
   /** Number of keepers whose disks may be lost at once. */
   lossLimit: number;
+  /** Writes a roster to disk, so that it is adopted again after a restart; by default, none is written. */
+  saveRoster?(roster: Roster): Promise<void>;
   /** Returns all values of the platform's store, read after the call. */
   listValues(): Promise<Result<Snapshot, StoreError>>;
 }
@@ -315,9 +317,11 @@
     return { body: { case: 'turnChain', value: { records, complete: this.isIntact, hasMore } } };
   }
 
-  private copy({ roster, receiver, after }: CopyPrograms): ReplyInit {
+  private async copy({ roster, receiver, after }: CopyPrograms): Promise<ReplyInit> {
     if (!roster) throw missing('roster');
     this.adopt(roster);
+    // After the copy, this keeper must accept no write under an older roster, not even after a restart.
+    await this.options.saveRoster?.(roster);
     const newer = this.newerRosterReply(roster.version);
     if (newer) return newer;
     const { table, clock, lossLimit, hash } = this.options;
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -68,6 +68,9 @@
 
   private state: KeeperState = { disk: '', intact: false, restoredVersion: -1, isNew: true };
 
+  /** The last write of the state. */
+  private saving: Promise<void> = Promise.resolve();
+
   private isRestoring = false;
 
   /** Counts of the last restoration that was logged as incomplete. */
@@ -143,7 +146,9 @@
     const hash = await loadHash();
     const { table, durableLog } = this;
     const listValues = () => this.sharedList.read();
-    const handler = new KeeperHandler({ table, durableLog, clock, hash, lossLimit, listValues });
+    const saveRoster = (saved: Roster) => this.saveAdopted(saved);
+    const options = { table, durableLog, clock, hash, lossLimit, listValues, saveRoster };
+    const handler = new KeeperHandler(options);
     const { disk, intact, restoredVersion, roster } = this.state;
     handler.disk = disk;
     handler.isIntact = intact;
@@ -230,10 +235,31 @@
     return keepers.some((keeper) => keeper.id === this.options.id && keeper.disk === disk);
   }
 
-  private async saveRestored(roster: Roster): Promise<void> {
-    const restoredVersion = roster.version;
-    this.state = { ...this.state, intact: true, restoredVersion, roster };
-    await writeKeeperState(this.options.folder, this.state);
+  private saveRestored(restored: Roster): Promise<void> {
+    const { version: restoredVersion } = restored;
+    const { roster = restored } = this.state;
+    const newest = roster.version > restoredVersion ? roster : restored;
+    return this.saveState({ intact: true, restoredVersion, roster: newest });
+  }
+
+  /** Writes an adopted roster to disk if it is newer than the one there. */
+  private async saveAdopted(roster: Roster): Promise<void> {
+    const isNewer = roster.version > (this.state.roster?.version ?? -Infinity);
+    const saved = isNewer ? this.saveState({ roster }) : this.saving;
+    await saved.catch((error: Error) => {
+      // The keeper remains a source: if no disk took the roster, nobody could restore.
+      this.options.log.write('diskFailed', { error: error.message, step: 'save the roster' });
+    });
+  }
+
+  /** Changes the state of the disk; the changes are written one after the other. */
+  private saveState(changes: Partial<KeeperState>): Promise<void> {
+    const state = { ...this.state, ...changes };
+    this.state = state;
+    this.saving = this.saving
+      .catch(() => undefined)
+      .then(() => writeKeeperState(this.options.folder, state));
+    return this.saving;
   }
 
   private async compact(): Promise<void> {
