A repeated commit is written to a keeper's disk once

Found by review (retriedCommit.test.ts): a turn of 100 kB that was retried for 4 s, as too few keepers were complete, took 0.8 to 8.9 MB on the disk of the keeper that took it.

Cause: each repeat was written again, every 20 ms if keepers refuse at once.

--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -30,8 +30,10 @@
 const HEDGE_FACTOR = 3;
 /** Shortest time for which a request to a quorum is retried. */
 const QUORUM_RETRY_TIMEOUT_MS = 1_000;
-/** Delay before each retry; after a roster change, keepers are not ready for about 10 ms. */
+/** Delay before the first retry; after a roster change, keepers are not ready for about 10 ms. Each further
+ * delay is twice as long, up to the maximum. */
 const QUORUM_RETRY_DELAY_MS = 20;
+const MAXIMUM_RETRY_DELAY_MS = 500;
 /** Share of the programs that have to be available. */
 const READY_SHARE = 0.9;
 /** Timeout of a probe; well above the time of a reply from a busy keeper. */
@@ -127,6 +129,7 @@
   async send(program: string, request: GroupRequest, { untilMs = 0 } = {}): Promise<Reply> {
     const { clock } = this.options;
     const retryUntilMs = Math.max(untilMs, clock.now() + QUORUM_RETRY_TIMEOUT_MS);
+    let delayMs = QUORUM_RETRY_DELAY_MS;
     while (true) {
       const { version } = this.activeRoster;
       try {
@@ -134,7 +137,8 @@
       } catch (error) {
         if (clock.now() >= retryUntilMs) throw error;
         const hasNewer = (this.roster?.version ?? 0) > version;
-        if (!hasNewer) await clock.sleep(QUORUM_RETRY_DELAY_MS);
+        if (!hasNewer) await clock.sleep(delayMs);
+        delayMs = hasNewer ? QUORUM_RETRY_DELAY_MS : Math.min(2 * delayMs, MAXIMUM_RETRY_DELAY_MS);
       }
     }
   }
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -30,6 +30,7 @@
 import { fromRateLimitMessage, toRateLimitMessage } from './rateLimitMessage';
 import { firstBatch } from './recordBatches';
 import { isAssigned } from './restoration';
+import { RENEWAL_AGE_MS } from './retention';
 
 /** Retry delay sent to callers before the roster is read; a starting keeper reads it within this
  * time if the platform's store is available. */
@@ -75,6 +76,9 @@
   /** Programs that need a turn which is being copied from another keeper, by the turn. */
   private readonly awaitingPrograms = new Map<string, Set<string>>();
 
+  /** Programs of the last commits of stored turns, with the clock times of their writes. */
+  private readonly writes = new WeakMap<TurnRecord, { program: string; atMs: number }>();
+
   private readonly listeners: (() => void)[] = [];
 
   private readonly permits: PermitTable;
@@ -194,6 +198,21 @@
     );
   }
 
+  /** Whether a turn has been synced to disk for a program so recently that a repeated commit needs no
+   * further write. */
+  private isWritten(program: string, turn: string): boolean {
+    const { table, clock } = this.options;
+    const record = table.record(turn);
+    const written = record && this.writes.get(record);
+    return written?.program === program && clock.now() - written.atMs < RENEWAL_AGE_MS;
+  }
+
+  private recordWrite(program: string, turn: string): void {
+    const { table, clock } = this.options;
+    const record = table.record(turn);
+    if (record) this.writes.set(record, { program, atMs: clock.now() });
+  }
+
   private async storeTurns(
     program: string,
     records: TurnRecord[],
@@ -265,7 +284,9 @@
     const lacking = record.ancestors.filter((ancestor) => !table.holds(program, ancestor));
     const sent = new Map(ancestors.map((ancestor) => [ancestor.turn, ancestor]));
     const added = lacking.flatMap((ancestor) => table.record(ancestor) ?? sent.get(ancestor) ?? []);
-    await this.storeTurns(program, [...added, record], retentionMs);
+    const isWritten = this.isWritten(program, turn);
+    await this.storeTurns(program, isWritten ? added : [...added, record], retentionMs);
+    if (!isWritten) this.recordWrite(program, turn);
     const accepted = this.isCompleteFor(rosterVersion);
     const missingTurns = lacking.filter((ancestor) => !table.holds(program, ancestor));
     return { body: { case: 'acknowledgement', value: { accepted, missingTurns } } };
