A connection that is closed while it is established doesn't end the process

Cause: Node.js reports a connection to the client even if its session has been destroyed meanwhile, and widens the window of the session at that moment, which throws for a destroyed one; nobody handles that.

Fix: a destroyed session keeps its window. Measured: both new cases of flowControl.test.ts fail before and pass.

--- a/packages/protocol/src/__tests__/flowControl.test.ts
+++ b/packages/protocol/src/__tests__/flowControl.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import test from 'node:test';
 import { SystemClock } from '@marjorampin/types';
+import { widenWindow } from '../flowControl';
 import { PeerHandler } from '../peerChannel';
 import { PeerServer } from '../peerServer';
 import { PeerSession } from '../peerSession';
@@ -63,3 +64,45 @@
     server.close();
   }
 });
+
+/** Attempts to close a connection in the moment in which it is established. */
+const ATTEMPTS = 400;
+/** Turns of the event loop after which the connection is closed, at most. */
+const MAXIMUM_TURNS = 8;
+
+const nextTurn = () =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+test('a connection that is closed while it is established ends the process', async () => {
+  const server = http2.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+    const client = new PeerSession({ authority: `http://127.0.0.1:${port}` });
+    const requested = client.request('POST', '/', {}).then(
+      (stream) => stream.on('error', () => undefined),
+      () => undefined,
+    );
+    for (let turn = 0; turn < attempt % MAXIMUM_TURNS; turn += 1) await nextTurn();
+    client.abort();
+    await requested;
+  }
+  server.close();
+});
+
+test('a session that is destroyed before its connection is reported ends the process', async () => {
+  const server = http2.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const session = http2.connect(`http://127.0.0.1:${port}`);
+  session.on('error', () => undefined);
+  session.destroy();
+  assert.doesNotThrow(() => widenWindow(session));
+  server.close();
+});
--- a/packages/protocol/src/flowControl.ts
+++ b/packages/protocol/src/flowControl.ts
@@ -9,5 +9,7 @@
 
 /** Widens the window of a session, which all its streams share, to that of its stream. */
 export function widenWindow(session: http2.Http2Session): void {
+  // A client reports a connection even if the session has been destroyed meanwhile.
+  if (session.destroyed) return;
   session.setLocalWindowSize(WINDOW_BYTES);
 }
