Keepers: write nothing to the folder after a stop

A process that ends at once is not affected, but one that is stopped could be replaced while it still renames keeper.json.

Cause: stop() closed the log, but waited neither for the state that saveAdopted writes for a copy, nor for a compaction, nor for events in a batch; events appended later opened a new segment.

Change: stop() waits for the state, the compaction and the writes under way; what comes later is rejected.

--- a/packages/turns/src/__tests__/keeperCluster.ts
+++ b/packages/turns/src/__tests__/keeperCluster.ts
@@ -19,7 +19,7 @@
 const { pid } = process;
 /** Loopback address that only this process uses: on a shared one, another process may take the port of
  * a keeper while it restarts. */
-const HOST = `127.64.${Math.floor(pid / OCTET) % OCTET}.${1 + (pid % (OCTET - 2))}`;
+export const HOST = `127.64.${Math.floor(pid / OCTET) % OCTET}.${1 + (pid % (OCTET - 2))}`;
 
 class ClientHandler extends PeerHandler {
   override async handle(): Promise<Reply> {
--- a/packages/turns/src/durableLog.ts
+++ b/packages/turns/src/durableLog.ts
@@ -60,6 +60,11 @@
 
   private isWriting = false;
 
+  /** The last series of writes. */
+  private writing: Promise<void> = Promise.resolve();
+
+  private isClosed = false;
+
   constructor({ segmentBytes = DEFAULT_SEGMENT_BYTES, ...options }: DurableLogOptions) {
     this.options = { segmentBytes, ...options };
   }
@@ -81,12 +86,15 @@
     return events;
   }
 
-  /** Appends an event; resolves once it is synced to disk. */
+  /** Appends an event; resolves once it is synced to disk. Rejects once the log is being closed. */
   append(event: KeptEvent): Promise<void> {
+    if (this.isClosed) {
+      return Promise.reject(new Error('the log is closed; start the keeper again'));
+    }
     this.recordOldest(event);
     return new Promise((resolve, reject) => {
       this.pending.push({ event, resolve, reject });
-      if (!this.isWriting) this.flush();
+      if (!this.isWriting) this.writing = this.flush();
     });
   }
 
@@ -132,8 +140,10 @@
     }
   }
 
-  /** Closes the open segment. */
+  /** Closes the open segment once the events appended before are written. */
   async close(): Promise<void> {
+    this.isClosed = true;
+    await this.writing;
     await this.file?.close();
     this.file = undefined;
   }
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -62,9 +62,10 @@
 
   private rosterMaintainer: RosterMaintainer | undefined;
 
-  private compaction: NodeJS.Timeout | undefined;
+  private compactionTimer: NodeJS.Timeout | undefined;
 
-  private isCompacting = false;
+  /** The compaction under way, if any. */
+  private compacting: Promise<void> | undefined;
 
   private state: KeeperState = { disk: '', intact: false, restoredVersion: -1, isNew: true };
 
@@ -78,6 +79,9 @@
 
   private isStopped = false;
 
+  /** Whether the state may not be written any more: no reply that depends on it can be sent. */
+  private isClosed = false;
+
   constructor(options: KeeperProcessOptions) {
     this.options = options;
     const { folder, log, store, clock, readTimes } = options;
@@ -114,7 +118,7 @@
       removalAfterMs: this.options.removalAfterMs,
       status: () => handler.status,
     });
-    this.compaction = setInterval(() => this.compact(), COMPACTION_INTERVAL_MS);
+    this.compactionTimer = setInterval(() => this.compact(), COMPACTION_INTERVAL_MS);
     log.write('processStarted', {
       role: 'keeper',
       replayed: events.length,
@@ -129,14 +133,17 @@
     return this.handler?.isComplete ?? false;
   }
 
-  /** Stops listening and closes the log. */
+  /** Stops listening and closes the log; resolves once nothing is written to the folder any more. */
   async stop(): Promise<void> {
     this.isStopped = true;
-    clearInterval(this.compaction);
+    clearInterval(this.compactionTimer);
     this.rosterMaintainer?.stop();
     this.values?.stop();
     this.peers?.close();
     await this.server?.close();
+    this.isClosed = true;
+    await this.saving.catch(() => undefined);
+    await this.compacting;
     await this.durableLog.close();
     this.options.log.write('processStopped', { role: 'keeper' });
   }
@@ -208,6 +215,7 @@
           result = counted;
         },
       });
+      if (this.isStopped) break;
       const counts = { rosterVersion: roster.version, ...result };
       if (isRestored) {
         await this.saveRestored(roster);
@@ -254,6 +262,7 @@
 
   /** Changes the state of the disk; the changes are written one after the other. */
   private saveState(changes: Partial<KeeperState>): Promise<void> {
+    if (this.isClosed) return Promise.reject(new Error('the keeper has stopped; start it again'));
     const state = { ...this.state, ...changes };
     this.state = state;
     this.saving = this.saving
@@ -262,14 +271,14 @@
     return this.saving;
   }
 
-  private async compact(): Promise<void> {
+  private compact(): void {
+    if (this.compacting) return;
     const { clock, log } = this.options;
     const { table, durableLog } = this;
-    if (this.isCompacting) return;
-    this.isCompacting = true;
-    await compactLog({ table, durableLog, clock }).catch((error: Error) => {
-      log.write('diskFailed', { error: error.message, step: 'compact' });
-    });
-    this.isCompacting = false;
+    this.compacting = compactLog({ table, durableLog, clock })
+      .catch((error: Error) => log.write('diskFailed', { error: error.message, step: 'compact' }))
+      .finally(() => {
+        this.compacting = undefined;
+      });
   }
 }
