--- a/packages/turns/src/__tests__/lostDisks.test.ts
+++ b/packages/turns/src/__tests__/lostDisks.test.ts
@@ -3,9 +3,10 @@
 import { describe, test } from 'node:test';
 import { create } from '@bufbuild/protobuf';
 import { type PeerPool, TurnRecordSchema } from '@marjorampin/protocol';
-import { toCallError } from '@marjorampin/types';
+import { SystemClock, toCallError } from '@marjorampin/types';
 import { KeeperCluster } from './keeperCluster';
 
+const clock = new SystemClock();
 const RETENTION_MS = 60_000;
 const BUDGET_TOKENS = 250;
 /** Number of programs that are tried; those whose group lacks a majority at that time are left out. */
@@ -67,6 +68,7 @@
             outputTokens: 200,
             retentionMs: RETENTION_MS,
           }),
+          { deadlineMs: clock.now() + RECOVERY_MS },
         );
         this.programs.push(program);
       }
