A commit that keepers don't answer ends by its deadline, and soon after its caller has left

What callers saw: nothing in calm. While a majority of keepers is silent, a turn that had run stayed in progress for up to 1.8 s after its deadline, and one whose caller had left until its deadline. A stopping entry, which leaves 250 ms after a deadline, ended with such a request in progress (event 'process end'), and a departed caller held it up for its whole grace period. Both callers had given up before, so no answer was lost.

Cause: GroupClient.send checked the time before an attempt only, an attempt took 900 ms whatever was left, every request was retried for at least a second, and nobody told it that the caller had left.

Fix: with a deadline, the attempts' timeouts end by it (the first one gets 100 ms at least, less than the 250 ms), a retry begins only if 100 ms are left, and once the caller has left a retry begins only within the first second. Requests without a deadline (reservations, settlements) are tried as before. A turn that ran but whose commit is given up keeps its reservation until its settlement, as before.

--- a/packages/gateway/src/turnForwarder.ts
+++ b/packages/gateway/src/turnForwarder.ts
@@ -131,9 +131,9 @@
   /** Stores a completed turn, or only the tokens that it used if its route does not store turns. */
   private async finish(turn: OpenTurn, endpoint: Endpoint): Promise<void> {
     const { turns } = this.options;
-    const { route, deadlineMs } = turn.request;
+    const { route, deadlineMs, signal } = turn.request;
     if (route.storesTurns) {
-      const options = { chain: turn.chain, deadlineMs };
+      const options = { chain: turn.chain, deadlineMs, signal };
       await turns.commit(createTurnRecord(turn, endpoint), options).catch(throwNotStored);
       return;
     }
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -21,6 +21,7 @@
 import { KeeperMonitor } from './keeperMonitor';
 import { keepersUnavailable } from './keepersUnavailable';
 import { mergeReservations } from './programTable';
+import { RequestAttempts, type RequestOptions } from './requestAttempts';
 
 /** Bounds of the delay before more keepers of a group are called. The shortest covers several round
  * trips and syncs, the longest leaves time for another keeper before the timeout. */
@@ -28,8 +29,6 @@
 const MAXIMUM_HEDGE_MS = 300;
 /** The delay is this multiple of the expected latency of the slowest keeper that is called first. */
 const HEDGE_FACTOR = 3;
-/** Shortest time for which a request to a quorum is retried. */
-const QUORUM_RETRY_TIMEOUT_MS = 1_000;
 /** Delay before the first retry; after a roster change, keepers are not ready for about 10 ms. Each further
  * delay is twice as long, up to the maximum. */
 const QUORUM_RETRY_DELAY_MS = 20;
@@ -123,21 +122,23 @@
     return this.monitor.hasMajority(this.groupOf(program));
   }
 
-  /** Sends a request to the keepers of a program; retries until a majority replies as expected, at least
-   * until the clock time `untilMs`. Merged reservations are `complete` if each keeper of that majority
-   * stores all of them. */
-  async send(program: string, request: GroupRequest, { untilMs = 0 } = {}): Promise<Reply> {
+  /** Sends a request to the keepers of a program; retries until a majority replies as expected. Merged
+   * reservations are `complete` if each keeper of that majority stores all of them. */
+  async send(program: string, request: GroupRequest, options: RequestOptions = {}): Promise<Reply> {
     const { clock } = this.options;
-    const retryUntilMs = Math.max(untilMs, clock.now() + QUORUM_RETRY_TIMEOUT_MS);
+    const attempts = new RequestAttempts(clock, options);
     let delayMs = QUORUM_RETRY_DELAY_MS;
     while (true) {
       const { version } = this.activeRoster;
       try {
-        return mergeReplies(request, await this.sendOnce(program, request));
+        const { timeoutMs } = attempts;
+        return mergeReplies(request, await this.sendOnce(program, request, timeoutMs));
       } catch (error) {
-        if (clock.now() >= retryUntilMs) throw error;
         const hasNewer = (this.roster?.version ?? 0) > version;
+        if (!attempts.mayRetryAfter(hasNewer ? 0 : delayMs)) throw error;
         if (!hasNewer) await clock.sleep(delayMs);
+        // The caller may have left meanwhile.
+        if (!attempts.isAwaited) throw error;
         delayMs = hasNewer ? QUORUM_RETRY_DELAY_MS : Math.min(2 * delayMs, MAXIMUM_RETRY_DELAY_MS);
       }
     }
@@ -169,7 +170,7 @@
     return reply;
   }
 
-  private sendOnce(program: string, request: GroupRequest): Promise<Reply[]> {
+  private sendOnce(program: string, request: GroupRequest, timeoutMs: number): Promise<Reply[]> {
     const { clock } = this.options;
     const { version } = this.activeRoster;
     const group = this.sortByLatency(this.groupOf(program));
@@ -179,7 +180,7 @@
       group,
       needed,
       hedgeMs,
-      timeoutMs: QUORUM_TIMEOUT_MS,
+      timeoutMs,
       clock,
       onDelay: (delayed) => delayed.forEach(({ id }) => this.monitor.recordDelay(id, hedgeMs)),
       call: async (keeper, index) => {
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -35,6 +35,8 @@
   chain?: TurnRecord[];
   /** Clock time until which the caller waits, in milliseconds. */
   deadlineMs?: number;
+  /** Aborts when the caller has left. */
+  signal?: AbortSignal;
 }
 
 /** Options of `TurnStore`. */
@@ -115,15 +117,16 @@
 
   /**
    * Writes a completed turn; resolves once a majority of its keepers has synced it to disk, and retries
-   * until the caller's `deadlineMs`, a clock time. `chain` are the turns that it continues; keepers that
-   * lack old ones, or those of other programs, get them, as they would otherwise expire before the turn.
+   * until the caller's `deadlineMs`, a clock time, or until it has left. `chain` are the turns that it
+   * continues; keepers that lack old ones, or those of other programs, get them, as they would otherwise
+   * expire before the turn.
    */
   async commit(
     completed: TurnRecord,
-    { chain = [], deadlineMs = 0 }: CommitOptions = {},
+    { chain = [], deadlineMs, signal }: CommitOptions = {},
   ): Promise<void> {
     const { program } = completed;
-    const retries = { untilMs: deadlineMs };
+    const retries = { untilMs: deadlineMs, signal };
     const committedAtMs = this.options.clock.wallTime();
     const record: TurnRecord = { ...completed, committedAtMs };
     const request: GroupRequest = { case: 'commitTurn', value: { record } };
