Requests that a caller sends without end on one connection are discarded beyond the 16 that are served

Cause: the connection was paused in the handler of the 17th request, but Node.js resumes it at the end of each message (readStart).

Evidence: endlessRequests.test.ts, 4 MB on one connection: 48,796 requests without and 37,399 with a body were parsed and kept before.

Fix: from the 17th request on, the parser no longer gets the bytes of the connection, which are read and dropped, so that its end is still noticed (fullConnection.test.ts passes as before). What has arrived in the same chunk of 64 KiB is still parsed. Nothing is added for other connections.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -83,6 +83,9 @@
   /** Connections that serve no further request. */
   private readonly fullConnections = new WeakSet<Socket>();
 
+  /** Those of which further bytes are discarded. */
+  private readonly discardedConnections = new WeakSet<Socket>();
+
   /** Time at which each connection that this entry serves was opened. */
   private readonly openedAtMs = new WeakMap<Socket, number>();
 
@@ -199,10 +202,10 @@
     return this.options.sharing !== undefined && !this.ownConnections.has(socket);
   }
 
-  /** Returns whether a request is served; later ones of a caller that sends too many at once are not read. */
+  /** Returns whether a request is served; later ones of a caller that sends too many at once are discarded. */
   private admit(socket: Socket, response: http.ServerResponse): boolean {
     if (this.fullConnections.has(socket)) {
-      socket.pause();
+      if (!this.discardedConnections.has(socket)) this.discardRest(socket);
       return false;
     }
     const count = (this.pipelined.get(socket) ?? 0) + 1;
@@ -217,6 +220,17 @@
     return true;
   }
 
+  /** Discards all further bytes of a connection: the parser would keep each request until the last answer,
+   * and reads on after a pause. The end of the connection is still noticed. */
+  private discardRest(socket: Socket): void {
+    this.discardedConnections.add(socket);
+    // The parser is still at work on the bytes that have arrived.
+    process.nextTick(() => {
+      socket.removeAllListeners('data');
+      socket.on('data', () => undefined).resume();
+    });
+  }
+
   private async placeConnection(socket: Socket, sharing: ConnectionSharing): Promise<void> {
     this.accepted += 1;
     const target = this.isStopping ? undefined : sharing.place();
