A roster without holders, as earlier versions write and pass it on, is completed with the holders that are known

What callers saw: while keepers are upgraded from one after the other and a disk is lost meanwhile, acknowledged turns were answered 404 (unknown-turn).

Cause: the earlier version leaves the holders out of the rosters that it reads, passes on and writes. The new one took such a roster as if only its listed keepers held copies, and didn't adopt the same version again when it read it with its holders.

Fix: a keeper completes a newer roster without holders with those of the roster that it knows and with that one's keepers, and saves it so. A roster that comes again with its holders replaces the one without, and is restored under again.

Not covered: a keeper that knows no roster with holders, several rosters without holders of which it read only the last, and what keepers of the earlier version answer by themselves: they count as before.

--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -25,6 +25,7 @@
 import { CallError, type Clock, type Result } from '@marjorampin/types';
 import type { StoredData } from './copyHolders';
 import type { DurableLog } from './durableLog';
+import { hasHolders, withKnownHolders } from './earlierRoster';
 import { PermitTable } from './permitTable';
 import type { ProgramTable } from './programTable';
 import { fromRateLimitMessage, toRateLimitMessage } from './rateLimitMessage';
@@ -81,6 +82,12 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  /** Whether the roster was received with its holders. */
+  private wasReceivedWhole = true;
+
+  /** The roster before the newest one, if it was received with its holders. */
+  private preceding: Roster | undefined;
+
   private readonly permits: PermitTable;
 
   private readonly loads: LoadTable;
@@ -97,13 +104,31 @@
     this.listeners.push(listener);
   }
 
-  /** Replaces the roster if the given one is newer. */
-  adopt(roster: Roster): void {
-    if (this.roster && this.roster.version >= roster.version) return;
-    this.roster = roster;
+  /** Replaces the roster if the given one is newer, or states the holders of the same version. */
+  adopt(received: Roster): void {
+    const { roster: known } = this;
+    const isNewer = !known || known.version < received.version;
+    const statesHolders =
+      !this.wasReceivedWhole && hasHolders(received) && known?.version === received.version;
+    if ((!isNewer && !statesHolders) || received === known) return;
+    const { lossLimit, clock } = this.options;
+    this.preceding = this.wasReceivedWhole ? known : undefined;
+    this.wasReceivedWhole = hasHolders(received);
+    this.roster = withKnownHolders(received, { known, lossLimit, nowMs: clock.wallTime() });
+    // Without the holders, it may have been restored from too few copies.
+    if (!isNewer) this.restoredVersion = Math.min(this.restoredVersion, received.version - 1);
     this.listeners.forEach((listener) => listener());
   }
 
+  /** Returns a roster with its holders, as far as they are known; `replies` tell what keepers store. */
+  completed(received: Roster, replies: Map<string, StoredData>): Roster {
+    const { roster, preceding: known } = this;
+    if (hasHolders(received) || roster?.version !== received.version) return received;
+    if (!known) return roster;
+    const { lossLimit, clock } = this.options;
+    return withKnownHolders(received, { known, replies, lossLimit, nowMs: clock.wallTime() });
+  }
+
   /** Marks all data assigned to this keeper under a roster version as stored. */
   markRestored(version: number): void {
     this.isIntact = true;
@@ -342,7 +367,7 @@
     if (!roster) throw missing('roster');
     this.adopt(roster);
     // After the copy, this keeper must accept no write under an older roster, not even after a restart.
-    await this.options.saveRoster?.(roster);
+    await this.options.saveRoster?.(this.completed(roster, new Map()));
     const newer = this.newerRosterReply(roster.version);
     if (newer) return newer;
     const { table, clock, lossLimit, hash } = this.options;
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -110,6 +110,7 @@
       clock,
       log,
       adopt: (roster) => handler.adopt(roster),
+      completed: (roster, replies) => handler.completed(roster, replies),
       lossLimit,
       removalAfterMs: this.options.removalAfterMs,
       status: () => handler.status,
--- a/packages/turns/src/rosterMaintainer.ts
+++ b/packages/turns/src/rosterMaintainer.ts
@@ -62,6 +62,8 @@
   status(): StoredData;
   /** Receives each roster that is read or written. */
   adopt(roster: Roster): void;
+  /** Returns a roster that was read with its holders, as far as they are known. */
+  completed(roster: Roster, replies: Map<string, StoredData>): Roster;
 }
 
 /** Replies of the other keepers to one probe each. */
@@ -234,8 +236,14 @@
     keepers: Keeper[],
     { stored }: ProbeReplies,
   ): Copies {
-    const { lossLimit, clock } = this.options;
-    return nextCopies({ roster, keepers, replies: stored, lossLimit, nowMs: clock.wallTime() });
+    const { lossLimit, clock, completed } = this.options;
+    return nextCopies({
+      roster: roster && completed(roster, stored),
+      keepers,
+      replies: stored,
+      lossLimit,
+      nowMs: clock.wallTime(),
+    });
   }
 
   /** Probes the keepers that this one monitors; returns those without a reply for too long. */
