--- a/packages/turns/src/__tests__/callQuorum.test.ts
+++ b/packages/turns/src/__tests__/callQuorum.test.ts
@@ -74,6 +74,12 @@
     called: 3,
     outcome: 'keepers-unavailable',
   },
+  {
+    name: 'rejects a group that is smaller than the quorum',
+    keepers: ['+5'],
+    called: 0,
+    outcome: 'keepers-unavailable',
+  },
   { name: 'rejects an empty group', keepers: [], called: 0, outcome: 'keepers-unavailable' },
 ];
 
--- a/packages/turns/src/__tests__/keeperMonitor.test.ts
+++ b/packages/turns/src/__tests__/keeperMonitor.test.ts
@@ -4,6 +4,7 @@
 import { MemoryEventLog } from '@marjorampin/logging';
 import { RosterSchema } from '@marjorampin/protocol';
 import { CallError, ManualClock } from '@marjorampin/types';
+import { majoritySize } from '../keeperGroup';
 import { KeeperMonitor } from '../keeperMonitor';
 
 const roster = create(RosterSchema, {
@@ -109,7 +110,8 @@
       unresponsive,
     );
     assert.equal(probed.length, probes);
-    assert.equal(monitor.hasMajority(roster.keepers), hasMajority);
+    const majority = majoritySize(roster.keepers.length);
+    assert.equal(monitor.hasQuorum(roster.keepers, majority), hasMajority);
     monitor.stop();
   });
 });
--- a/packages/turns/src/callQuorum.ts
+++ b/packages/turns/src/callQuorum.ts
@@ -66,8 +66,9 @@
         callNext();
       }
     };
-    if (group.length === 0) {
-      reject(keepersUnavailable('no keeper is registered'));
+    if (group.length < needed) {
+      const text = `${group.length} keepers are registered, and ${needed} have to store each write`;
+      reject(keepersUnavailable(text));
       return;
     }
     const callMissing = () => {
--- a/packages/turns/src/copyHolders.ts
+++ b/packages/turns/src/copyHolders.ts
@@ -6,7 +6,7 @@
   type KeeperStatus,
   type Roster,
 } from '@marjorampin/protocol';
-import { activeKeepers, groupSize, quorumSize } from './keeperGroup';
+import { activeKeepers, groupSize, majoritySize, quorumSize } from './keeperGroup';
 import { MISSING_COPY_EXPIRY_MS } from './retention';
 
 /** The disks that store acknowledged data, as a roster states them. */
@@ -28,16 +28,14 @@
 /** Whole version of a roster without holders; no keeper counts as empty under it. */
 const UNKNOWN_VERSION = -1;
 
-/** Copies before the first roster; a roster of one keeper acknowledges a write with one copy. */
-const NO_COPIES: Copies = { holders: [], minimumCopies: 1, wholeVersion: 0 };
-
 /** Returns the copies that the keepers of a roster have to restore. */
 export function copiesOf(roster: Roster, lossLimit: number): Copies {
   const { holders, minimumCopies, wholeVersion } = roster;
   if (minimumCopies > 0) return { holders, minimumCopies, wholeVersion };
   return {
     holders: holdersAmong(roster.keepers),
-    minimumCopies: quorumSize(groupSize(roster, lossLimit)),
+    // Earlier versions acknowledged a write with a majority.
+    minimumCopies: majoritySize(groupSize(roster, lossLimit)),
     wholeVersion: UNKNOWN_VERSION,
   };
 }
@@ -90,12 +88,16 @@
   lossLimit,
   nowMs,
 }: NextCopiesOptions): Copies {
-  if (!roster) return NO_COPIES;
-  const quorum = quorumSize(groupSize(roster, lossLimit));
+  const none = { holders: [], minimumCopies: lossLimit + 1, wholeVersion: 0 };
+  if (!roster) return none;
+  const size = groupSize(roster, lossLimit);
+  const quorum = quorumSize(size, lossLimit);
   const listed = holdersAmong(activeKeepers(roster));
   const earlier = copiesOf(roster, lossLimit);
+  // Nothing was acknowledged before this roster, which accepts no writes.
+  if (earlier.holders.length === 0 && size < quorum) return none;
   const copies = isWhole(roster, replies, lossLimit)
-    ? { holders: listed, minimumCopies: quorum, wholeVersion: roster.version }
+    ? { holders: listed, minimumCopies: Math.min(quorum, size), wholeVersion: roster.version }
     : {
         holders: withListed(relevantHolders(earlier, nowMs), listed),
         minimumCopies: Math.min(earlier.minimumCopies, quorum),
@@ -120,7 +122,7 @@
 
 /**
  * Returns whether all data is known to be at the keepers of a roster: of each group, only so many
- * keepers may not have confirmed it that the others are a quorum. Keepers that have lost the listed disk
+ * keepers may not have confirmed it that the others are a quorum; of a smaller group, none. Keepers that have lost the listed disk
  * are not asked, as they count as holders that can't be read.
  */
 export function isWhole(
@@ -134,7 +136,7 @@
     if (!reply) return true;
     return reply.disk === disk && !(reply.intact && reply.restoredVersion >= roster.version);
   });
-  return size > 0 && unconfirmed.length <= size - quorumSize(size);
+  return size > 0 && unconfirmed.length <= Math.max(0, size - quorumSize(size, lossLimit));
 }
 
 function holdersAmong(keepers: Keeper[]): CopyHolder[] {
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -120,7 +120,7 @@
 
   /** Whether a majority of a program's group responds. */
   hasMajority(program: string): boolean {
-    return this.monitor.hasMajority(this.groupOf(program));
+    return this.hasQuorum(this.groupOf(program));
   }
 
   /** Sends a request to the keepers of a program; retries until a majority replies as expected, at least
@@ -173,7 +173,7 @@
     const { clock } = this.options;
     const { version } = this.activeRoster;
     const group = this.sortByLatency(this.groupOf(program));
-    const needed = quorumSize(group.length);
+    const needed = this.quorumOf(group);
     const hedgeMs = this.hedgeMs(group.slice(0, needed));
     return callQuorum({
       group,
@@ -214,7 +214,7 @@
 
   private updateAvailability(): void {
     const sample = this.groups?.sample ?? [];
-    const available = sample.filter((group) => this.monitor.hasMajority(group)).length;
+    const available = sample.filter((group) => this.hasQuorum(group)).length;
     const isAvailable = available >= sample.length * READY_SHARE;
     if (isAvailable === this.isAvailable) return;
     this.isAvailable = isAvailable;
@@ -222,6 +222,14 @@
     this.options.log.write(isAvailable ? 'keepersRegained' : 'keepersLost', { lostShare });
   }
 
+  private quorumOf(group: Keeper[]): number {
+    return quorumSize(group.length, this.options.lossLimit);
+  }
+
+  private hasQuorum(group: Keeper[]): boolean {
+    return this.monitor.hasQuorum(group, this.quorumOf(group));
+  }
+
   private groupOf(program: string): Keeper[] {
     // Throws before the first roster.
     return this.activeRoster ? (this.groups?.groupOf(program) ?? []) : [];
--- a/packages/turns/src/keeperGroup.ts
+++ b/packages/turns/src/keeperGroup.ts
@@ -12,19 +12,27 @@
 }
 
 /** Returns the majority of a group of `size` keepers; any two majorities share a keeper. */
-export function quorumSize(size: number): number {
+export function majoritySize(size: number): number {
   return Math.floor(size / 2) + 1;
 }
 
+/**
+ * Returns how many keepers of a group of `size` acknowledge a write: a majority, and one more than
+ * may lose their disks at once. A smaller group accepts no writes.
+ */
+export function quorumSize(size: number, lossLimit: number): number {
+  return Math.max(majoritySize(size), lossLimit + 1);
+}
+
 /**
  * Returns how many active keepers must report that they do not store a turn before it is certain that it
  * does not exist: together with the quorum of a committed turn, they outnumber the active ones. They
  * are a majority, as fewer may not know yet of a newer roster under which the turn was written.
  */
 export function absenceQuorum(roster: Roster, lossLimit: number): number {
-  const copies = quorumSize(groupSize(roster, lossLimit));
+  const copies = quorumSize(groupSize(roster, lossLimit), lossLimit);
   const active = activeKeepers(roster).length;
-  return Math.max(quorumSize(active), active - copies + 1);
+  return Math.max(majoritySize(active), active - copies + 1);
 }
 
 /** Returns the keepers that store a program in rendezvous order, spread over failure domains. */
--- a/packages/turns/src/keeperMonitor.ts
+++ b/packages/turns/src/keeperMonitor.ts
@@ -1,7 +1,6 @@
 import type { EventLog } from '@marjorampin/logging';
 import type { Keeper, Roster } from '@marjorampin/protocol';
 import { CallError, type Clock } from '@marjorampin/types';
-import { quorumSize } from './keeperGroup';
 import { ReplyLatencies } from './replyLatencies';
 
 /** Interval between probes of unresponsive keepers. */
@@ -82,10 +81,10 @@
     return this.unresponsive.has(id) ? Infinity : this.latencies.expectedMs(id, usualMs);
   }
 
-  /** Returns whether a majority of a group responds. */
-  hasMajority(group: Keeper[]): boolean {
+  /** Returns whether `quorum` keepers of a group respond. */
+  hasQuorum(group: Keeper[], quorum: number): boolean {
     const responding = group.filter(({ id }) => !this.unresponsive.has(id));
-    return responding.length >= quorumSize(group.length);
+    return responding.length >= quorum;
   }
 
   /** Ends the probes. */
