--- a/packages/turns/src/__tests__/diskLossProperty.ts
+++ b/packages/turns/src/__tests__/diskLossProperty.ts
@@ -206,15 +206,15 @@
     if (this.mode !== 'ignored') await this.decideTurns();
   }
 
-  /** Continues turns whose caller got no end through all entries; they go either way for good. */
+  /** Continues turns whose caller got no end through all entries, as clients do; they go either way for good. */
   private async decideTurns(): Promise<void> {
     const { keepers, undecided, decisions } = this;
     const checks = [...undecided.values()].flatMap(({ id, program }) =>
-      keepers.entries.map(async ({ continuations }) => {
+      keepers.entries.map(async ({ turns: store }) => {
         this.turnCount += 1;
         const turn = `after ${id} ${this.turnCount}`;
         const request = { program, turn, tokens: 0, budget: Infinity, retentionMs: RETENTION_MS };
-        const outcome = await continuations.reserve({ ...request, previous: id }).then(
+        const outcome = await store.reserve({ ...request, previous: id }).then(
           () => 'found',
           (error: unknown) => toCallError(error).kind,
         );
--- a/packages/turns/src/__tests__/disruptedKeepers.ts
+++ b/packages/turns/src/__tests__/disruptedKeepers.ts
@@ -136,11 +136,16 @@
   Object.assign(keeper, { keeper: undefined, isFirstStart: false });
 }
 
-/** Store for reservations of no tokens, which need no settlement. */
+/** Store that observes turns with reservations of no tokens, and stores nothing: an observation that writes
+ * turns again would hide that they are stored too rarely. */
 class ContinuationStore extends TurnStore {
   override async settle(): Promise<void> {
     // No tokens are reserved.
   }
+
+  protected override async completeCommit(): Promise<void> {
+    // The turns stay where they are.
+  }
 }
 
 /** Keepers and entries of one deployment. */
--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -15,6 +15,7 @@
   type SettleTokensSchema,
 } from '@marjorampin/protocol';
 import type { Clock } from '@marjorampin/types';
+import { AcknowledgedTurns } from './acknowledgedTurns';
 import { callQuorum, QUORUM_TIMEOUT_MS } from './callQuorum';
 import { GroupTable } from './groupTable';
 import { activeKeepers, quorumSize } from './keeperGroup';
@@ -67,6 +68,9 @@
 
   private readonly monitor: KeeperMonitor;
 
+  /** Turns of which keepers have not been told; a lost one only costs a further write later. */
+  private readonly acknowledged = new AcknowledgedTurns();
+
   private groups: GroupTable | undefined;
 
   /** Whether a majority responds in nearly all groups. */
@@ -105,6 +109,7 @@
       .forEach(({ address }) => this.options.peers.drop(address));
     const { lossLimit, hash } = this.options;
     this.groups = new GroupTable({ roster, lossLimit, hash });
+    this.acknowledged.retain(roster.keepers);
     this.updateAvailability();
   }
 
@@ -143,6 +148,11 @@
     }
   }
 
+  /** Tells the keepers of a program with the next requests to them that a quorum stores a turn. */
+  acknowledge(program: string, turn: string): void {
+    this.acknowledged.add(turn, this.groupOf(program));
+  }
+
   /** Returns the keepers that share the rate limit of an endpoint; none before the first roster. */
   ownersOf(endpoint: string): Keeper[] {
     return this.groups?.groupOf(endpoint) ?? [];
@@ -183,7 +193,8 @@
       clock,
       onDelay: (delayed) => delayed.forEach(({ id }) => this.monitor.recordDelay(id, hedgeMs)),
       call: async (keeper, index) => {
-        const reply = await this.callKeeper(keeper, bodyFor(request, version, index));
+        const body = this.bodyFor(request, { keeper, index, rosterVersion: version });
+        const reply = await this.callKeeper(keeper, body);
         if (isSuccess(reply)) return reply;
         throw new Error(`keeper ${keeper.id} is not ready (reply: ${reply.body.case ?? 'empty'})`);
       },
@@ -222,6 +233,24 @@
     this.options.log.write(isAvailable ? 'keepersRegained' : 'keepersLost', { lostShare });
   }
 
+  /** Returns the request for one keeper; only the first keeper of a group returns the chain. */
+  private bodyFor(
+    request: GroupRequest,
+    { keeper, index, rosterVersion }: { keeper: Keeper; index: number; rosterVersion: number },
+  ): RequestBody {
+    if (request.case === 'settleTokens') {
+      return { case: 'settleTokens', value: { ...request.value, rosterVersion } };
+    }
+    const acknowledgedTurns = this.acknowledged.take(keeper.id);
+    if (request.case === 'commitTurn') {
+      const value = { ...request.value, rosterVersion, acknowledgedTurns };
+      return { case: 'commitTurn', value };
+    }
+    const wantsChain = request.value.wantsChain === true && index === 0;
+    const value = { ...request.value, wantsChain, rosterVersion, acknowledgedTurns };
+    return { case: 'reserveTokens', value };
+  }
+
   private quorumOf(group: Keeper[]): number {
     return quorumSize(group.length, this.options.lossLimit);
   }
@@ -236,18 +265,6 @@
   }
 }
 
-/** Returns the request for one keeper; only the first keeper of a group returns the chain. */
-function bodyFor(request: GroupRequest, rosterVersion: number, index: number): RequestBody {
-  if (request.case === 'reserveTokens') {
-    const wantsChain = request.value.wantsChain === true && index === 0;
-    return { case: 'reserveTokens', value: { ...request.value, wantsChain, rosterVersion } };
-  }
-  if (request.case === 'commitTurn') {
-    return { case: 'commitTurn', value: { ...request.value, rosterVersion } };
-  }
-  return { case: 'settleTokens', value: { ...request.value, rosterVersion } };
-}
-
 /** Returns whether a keeper executed a request and its reply counts for the majority. */
 function isSuccess({ body }: Reply): boolean {
   if (body.case === 'reservations') return body.value.complete;
@@ -268,7 +285,9 @@
   // Each reply lists a turn at most once.
   const complete = all.every((reply) => reply.others.length === others.length);
   const programAgeMs = Math.max(...all.map((reply) => reply.programAgeMs));
-  const value = { others, chain, complete, programAgeMs };
+  const acknowledged =
+    all.some((reply) => reply.acknowledged) || all.every((reply) => reply.holdsPrevious);
+  const value = { others, chain, complete, programAgeMs, acknowledged };
   return create(ReplySchema, { body: { case: 'reservations', value } });
 }
 
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -252,6 +252,7 @@
     const { program, reservation, known, retentionMs, previous, wantsChain, rosterVersion } =
       request;
     if (!reservation) throw missing('reservation');
+    table.acknowledge(request.acknowledgedTurns);
     const expiresAtMs = clock.now() + retentionMs;
     const lacking = known.filter((each) => table.wouldChange(program, each));
     this.addedReservations += lacking.length;
@@ -265,7 +266,9 @@
     );
     const chain = wantsChain && previous !== '' ? table.chain(previous) : [];
     const complete = this.isCompleteFor(rosterVersion);
-    const value = { others, chain, complete, programAgeMs };
+    const acknowledged = table.isAcknowledged(previous);
+    const holdsPrevious = table.holds(program, previous);
+    const value = { others, chain, complete, programAgeMs, acknowledged, holdsPrevious };
     return { body: { case: 'reservations', value } };
   }
 
@@ -276,9 +279,11 @@
     throw new CallError({ kind: 'platform-unavailable', message, retryAfterMs: START_RETRY_MS });
   }
 
-  private async commit({ record, rosterVersion, ancestors }: CommitTurn): Promise<ReplyInit> {
+  private async commit(request: CommitTurn): Promise<ReplyInit> {
+    const { record, rosterVersion, ancestors } = request;
     if (!record) throw missing('record');
     const { table, clock } = this.options;
+    table.acknowledge(request.acknowledgedTurns);
     const { program, turn, outputTokens, retentionMs } = record;
     table.settle(program, turn, outputTokens, clock.now() + retentionMs);
     const lacking = record.ancestors.filter((ancestor) => !table.holds(program, ancestor));
@@ -302,7 +307,9 @@
 
   private read({ turn, rosterVersion }: ReadTurns): ReplyInit {
     const complete = this.isCompleteFor(rosterVersion);
-    const value = { records: this.options.table.chain(turn), complete };
+    const { table } = this.options;
+    const acknowledged = table.isAcknowledged(turn);
+    const value = { records: table.chain(turn), complete, acknowledged };
     return { body: { case: 'turnChain', value } };
   }
 
--- a/packages/turns/src/programTable.ts
+++ b/packages/turns/src/programTable.ts
@@ -26,6 +26,8 @@
   record: TurnRecord;
   /** Number of programs that need it. */
   holders: number;
+  /** Whether a quorum is known to store it. */
+  isAcknowledged: boolean;
 }
 
 /** A page of programs, ordered by id. */
@@ -66,7 +68,11 @@
   add(program: string, record: TurnRecord, expiresAtMs: number): void {
     const { turns } = this.upsert(program, expiresAtMs);
     if (turns.has(record.turn)) return;
-    const stored = this.storedTurns.get(record.turn) ?? { record, holders: 0 };
+    const stored = this.storedTurns.get(record.turn) ?? {
+      record,
+      holders: 0,
+      isAcknowledged: false,
+    };
     stored.holders += 1;
     this.storedTurns.set(record.turn, stored);
     turns.set(record.turn, stored.record);
@@ -77,6 +83,19 @@
     return this.programs.get(program)?.turns.has(turn) ?? false;
   }
 
+  /** Records that a quorum stores some turns; those that are not stored here are left out. */
+  acknowledge(turns: string[]): void {
+    turns.forEach((turn) => {
+      const stored = this.storedTurns.get(turn);
+      if (stored) stored.isAcknowledged = true;
+    });
+  }
+
+  /** Returns whether a turn is stored here and known to be stored by a quorum. */
+  isAcknowledged(turn: string): boolean {
+    return this.storedTurns.get(turn)?.isAcknowledged ?? false;
+  }
+
   /** Returns a turn and its stored ancestors, oldest first; empty if the turn is not stored. */
   chain(turn: string): TurnRecord[] {
     return storedChain((id) => this.record(id), turn);
--- a/packages/turns/src/turnReader.ts
+++ b/packages/turns/src/turnReader.ts
@@ -22,6 +22,13 @@
   adopt(roster: Roster): void;
 }
 
+/** A turn and its ancestors, oldest first. */
+export interface ReadChain {
+  chain: TurnRecord[];
+  /** Whether a quorum is known to store the turn. */
+  isAcknowledged: boolean;
+}
+
 /** Reads chains of turns from all keepers, as each turn may be stored by a different majority. */
 export class TurnReader {
   private readonly options: TurnReaderOptions;
@@ -35,12 +42,15 @@
    * program, which another group stores. `known` are turns that were already read.
    * Throws `unknown-turn` only if the turn can't exist, otherwise `keepers-unavailable`.
    */
-  async read(roster: Roster, turn: string, known: TurnRecord[]): Promise<TurnRecord[]> {
+  async read(roster: Roster, turn: string, known: TurnRecord[]): Promise<ReadChain> {
     const found = indexByTurn(known);
+    let isAcknowledged = false;
     /** Keepers that do not store the turn, by whether their reply is complete. */
     const absent = { complete: [] as string[], incomplete: [] as string[] };
     const reads = roster.keepers.map(async ({ id, address, leaving }) => {
-      const { records, complete } = await this.requestChain(address, roster.version, turn);
+      const reply = await this.requestChain(address, roster.version, turn);
+      const { records, complete } = reply;
+      isAcknowledged ||= reply.acknowledged;
       records.forEach((record) => found.set(record.turn, record));
       const chain = completeChain(found, turn);
       if (chain) return chain;
@@ -50,9 +60,11 @@
       throw keepersUnavailable(`keeper at ${address} does not store turn ${turn}`);
     });
     try {
-      return await Promise.any(reads);
+      return { chain: await Promise.any(reads), isAcknowledged };
     } catch {
-      if (found.has(turn)) return this.readMissingAncestors(roster, turn, found);
+      if (found.has(turn)) {
+        return { chain: await this.readMissingAncestors(roster, turn, found), isAcknowledged };
+      }
       const needed = absenceQuorum(roster, this.options.lossLimit);
       if (absent.complete.length < needed) {
         throw keepersUnavailable(
--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -123,21 +123,12 @@
     { chain = [], deadlineMs = 0 }: CommitOptions = {},
   ): Promise<void> {
     const { program } = completed;
-    const retries = { untilMs: deadlineMs };
     const committedAtMs = this.options.clock.wallTime();
     const record: TurnRecord = { ...completed, committedAtMs };
-    const request: GroupRequest = { case: 'commitTurn', value: { record } };
-    const { body } = await this.group.send(program, request, retries);
-    this.cache.add(record);
-    const missing = new Set(body.case === 'acknowledgement' ? body.value.missingTurns : []);
-    const ancestors = chain.filter(({ turn }) => missing.has(turn));
     const needsRenewal = (ancestor: TurnRecord) =>
       ancestor.program !== program || committedAtMs - ancestor.committedAtMs > RENEWAL_AGE_MS;
-    if (!ancestors.some(needsRenewal)) return;
-    for (const batch of recordBatches(ancestors, RENEWAL_BYTES)) {
-      const renewal: GroupRequest = { case: 'commitTurn', value: { record, ancestors: batch } };
-      await this.group.send(program, renewal, retries);
-    }
+    await this.store(record, { chain, needsRenewal, untilMs: deadlineMs });
+    this.cache.add(record);
   }
 
   /** Replaces a turn's reservation with the tokens it used; if all attempts fail, it stays. */
@@ -162,6 +153,34 @@
     this.options.log.write('settlementLost', { program, turn, tokens });
   }
 
+  /** Writes a found turn again: its commit may have reached too few keepers, and a turn that was found
+   * once has to stay. */
+  protected completeCommit(found: TurnRecord, chain: TurnRecord[]): Promise<void> {
+    return this.store(found, { chain, needsRenewal: () => true });
+  }
+
+  /** Writes a turn to a quorum, and all ancestors that keepers lack if one of those needs a renewal. */
+  private async store(
+    record: TurnRecord,
+    {
+      chain,
+      needsRenewal,
+      untilMs,
+    }: { chain: TurnRecord[]; needsRenewal(ancestor: TurnRecord): boolean; untilMs?: number },
+  ): Promise<void> {
+    const { program, turn } = record;
+    const request: GroupRequest = { case: 'commitTurn', value: { record } };
+    const { body } = await this.group.send(program, request, { untilMs });
+    const missing = new Set(body.case === 'acknowledgement' ? body.value.missingTurns : []);
+    const ancestors = chain.filter((ancestor) => missing.has(ancestor.turn));
+    const renewed = ancestors.some(needsRenewal) ? ancestors : [];
+    for (const batch of recordBatches(renewed, RENEWAL_BYTES)) {
+      const renewal: GroupRequest = { case: 'commitTurn', value: { record, ancestors: batch } };
+      await this.group.send(program, renewal, { untilMs });
+    }
+    this.group.acknowledge(program, turn);
+  }
+
   private async reserveAndRead(request: TurnReservation): Promise<TurnRecord[]> {
     const { previous } = request;
     const cached = previous === undefined ? [] : this.cache.chain(previous);
@@ -182,7 +201,7 @@
     const last = repeated ?? (isOnlyRunningTurn ? first : await this.reserveTokens(request, {}));
     const spentTokens = totalTokens(othersOf(last, request));
     if (spentTokens + request.tokens > request.budget) throw exhausted(request, spentTokens);
-    return cached ?? (await this.readChain(previous ?? '', first.chain));
+    return cached ?? (await this.readChain(request, first));
   }
 
   private async reserveTokens(
@@ -196,10 +215,20 @@
     throw keepersUnavailable(`unexpected reply ${body.case ?? 'without a body'}`);
   }
 
-  private async readChain(previous: string, received: TurnRecord[]): Promise<TurnRecord[]> {
-    const chain =
-      completeChain(indexByTurn(received), previous) ??
-      (await this.reader.read(this.group.activeRoster, previous, received));
+  private async readChain(
+    { program, previous = '' }: TurnReservation,
+    received: Reservations,
+  ): Promise<TurnRecord[]> {
+    const whole = completeChain(indexByTurn(received.chain), previous);
+    const { chain, isAcknowledged } = whole
+      ? { chain: whole, isAcknowledged: false }
+      : await this.reader.read(this.group.activeRoster, previous, received.chain);
+    if (!received.acknowledged && !isAcknowledged) {
+      const last = chain.at(-1);
+      // Turns of another program are stored again when the turn that continues them is committed.
+      if (last?.program !== program) return chain;
+      await this.completeCommit(last, chain);
+    }
     chain.forEach((record) => this.cache.add(record));
     return chain;
   }
