--- a/packages/turns/src/turnStore.ts
+++ b/packages/turns/src/turnStore.ts
@@ -4,6 +4,7 @@
 import { GroupClient, type GroupClientOptions, type GroupRequest } from './groupClient';
 import { keepersUnavailable } from './keepersUnavailable';
 import { recordBatches } from './recordBatches';
+import type { RequestOptions } from './requestAttempts';
 import { RENEWAL_AGE_MS } from './retention';
 import { TurnCache } from './turnCache';
 import { completeChain } from './turnChain';
@@ -39,6 +40,14 @@
   signal?: AbortSignal;
 }
 
+/** How a turn is written. */
+interface RecordWrite extends RequestOptions {
+  /** Turns that the written one continues, oldest first. */
+  chain: TurnRecord[];
+  /** Returns whether keepers that lack an ancestor have to get it. */
+  needsRenewal(ancestor: TurnRecord): boolean;
+}
+
 /** Options of `TurnStore`. */
 export interface TurnStoreOptions extends GroupClientOptions {
   /** Size limit of the cache of turns. */
@@ -126,21 +135,12 @@
     { chain = [], deadlineMs, signal }: CommitOptions = {},
   ): Promise<void> {
     const { program } = completed;
-    const retries = { untilMs: deadlineMs, signal };
     const committedAtMs = this.options.clock.wallTime();
     const record: TurnRecord = { ...completed, committedAtMs };
-    const request: GroupRequest = { case: 'commitTurn', value: { record } };
-    const { body } = await this.group.send(program, request, retries);
-    this.cache.add(record);
-    const missing = new Set(body.case === 'acknowledgement' ? body.value.missingTurns : []);
-    const ancestors = chain.filter(({ turn }) => missing.has(turn));
     const needsRenewal = (ancestor: TurnRecord) =>
       ancestor.program !== program || committedAtMs - ancestor.committedAtMs > RENEWAL_AGE_MS;
-    if (!ancestors.some(needsRenewal)) return;
-    for (const batch of recordBatches(ancestors, RENEWAL_BYTES)) {
-      const renewal: GroupRequest = { case: 'commitTurn', value: { record, ancestors: batch } };
-      await this.group.send(program, renewal, retries);
-    }
+    await this.store(record, { chain, needsRenewal, untilMs: deadlineMs, signal });
+    this.cache.add(record);
   }
 
   /** Replaces a turn's reservation with the tokens it used; if all attempts fail, it stays. */
@@ -165,6 +165,30 @@
     this.options.log.write('settlementLost', { program, turn, tokens });
   }
 
+  /** Writes a found turn again: its commit may have reached too few keepers, and a turn that was found
+   * once has to stay. */
+  protected completeCommit(found: TurnRecord, chain: TurnRecord[]): Promise<void> {
+    return this.store(found, { chain, needsRenewal: () => true });
+  }
+
+  /** Writes a turn to a quorum, and all ancestors that keepers lack if one of those needs a renewal. */
+  private async store(
+    record: TurnRecord,
+    { chain, needsRenewal, ...retries }: RecordWrite,
+  ): Promise<void> {
+    const { program, turn } = record;
+    const request: GroupRequest = { case: 'commitTurn', value: { record } };
+    const { body } = await this.group.send(program, request, retries);
+    const missing = new Set(body.case === 'acknowledgement' ? body.value.missingTurns : []);
+    const ancestors = chain.filter((ancestor) => missing.has(ancestor.turn));
+    const renewed = ancestors.some(needsRenewal) ? ancestors : [];
+    for (const batch of recordBatches(renewed, RENEWAL_BYTES)) {
+      const renewal: GroupRequest = { case: 'commitTurn', value: { record, ancestors: batch } };
+      await this.group.send(program, renewal, retries);
+    }
+    this.group.acknowledge(program, turn);
+  }
+
   private async reserveAndRead(request: TurnReservation): Promise<TurnRecord[]> {
     const { previous } = request;
     const cached = previous === undefined ? [] : this.cache.chain(previous);
@@ -185,7 +209,7 @@
     const last = repeated ?? (isOnlyRunningTurn ? first : await this.reserveTokens(request, {}));
     const spentTokens = totalTokens(othersOf(last, request));
     if (spentTokens + request.tokens > request.budget) throw exhausted(request, spentTokens);
-    return cached ?? (await this.readChain(previous ?? '', first.chain));
+    return cached ?? (await this.readChain(request, first));
   }
 
   private async reserveTokens(
@@ -199,10 +223,20 @@
     throw keepersUnavailable(`unexpected reply ${body.case ?? 'without a body'}`);
   }
 
-  private async readChain(previous: string, received: TurnRecord[]): Promise<TurnRecord[]> {
-    const chain =
-      completeChain(indexByTurn(received), previous) ??
-      (await this.reader.read(this.group.activeRoster, previous, received));
+  private async readChain(
+    { program, previous = '' }: TurnReservation,
+    received: Reservations,
+  ): Promise<TurnRecord[]> {
+    const whole = completeChain(indexByTurn(received.chain), previous);
+    const { chain, isAcknowledged } = whole
+      ? { chain: whole, isAcknowledged: false }
+      : await this.reader.read(this.group.activeRoster, previous, received.chain);
+    if (!received.acknowledged && !isAcknowledged) {
+      const last = chain.at(-1);
+      // Turns of another program are stored again when the turn that continues them is committed.
+      if (last?.program !== program) return chain;
+      await this.completeCommit(last, chain);
+    }
     chain.forEach((record) => this.cache.add(record));
     return chain;
   }
