A first roster that accepted writes when it was written keeps its holders

By reading, acknowledged turns could be answered 404: the first keeper of a deployment acknowledges writes alone under; if more keepers are added by this version, its disk counts as no holder, so that the others restore without it. The same holds for the first rosters of a deployment that is told to tolerate one more loss later.

Cause: nextCopies took a first roster as one without acknowledged writes if it accepts none by today's quorum. Since a write needs lossLimit + 1 copies, that quorum may be larger than the one under which the roster was written.

--- a/packages/turns/src/copyHolders.ts
+++ b/packages/turns/src/copyHolders.ts
@@ -94,8 +94,9 @@
   const quorum = quorumSize(size, lossLimit);
   const listed = holdersAmong(activeKeepers(roster));
   const earlier = copiesOf(roster, lossLimit);
-  // Nothing was acknowledged before this roster, which accepts no writes.
-  if (earlier.holders.length === 0 && size < quorum) return none;
+  // Nothing was acknowledged before this roster, which accepts no writes, nor did it when it was written.
+  const acceptsNoWrites = size < Math.min(quorum, earlier.minimumCopies);
+  if (earlier.holders.length === 0 && acceptsNoWrites) return none;
   const copies = isWhole(roster, replies, lossLimit)
     ? { holders: listed, minimumCopies: Math.min(quorum, size), wholeVersion: roster.version }
     : {
