A restoration that ends after its roster's holders were stated does not count

A keeper replied that it had restored all data although one disk too many could not be read, and would prove the absence of acknowledged turns.

Cause: a keeper that gets a roster without holders restores at once. When it then reads the same version with the holders, the version counts as not restored, but the first restoration was still under way and recorded it as restored when it ended.

Evidence: earlierRosters.test.ts, "a keeper whose roster states its holders during a restoration": complete before, incomplete now.

Fix: a restoration is recorded only while the keeper's roster of that version is the one it was made under; else it is made again.

--- a/packages/turns/src/__tests__/earlierRosters.test.ts
+++ b/packages/turns/src/__tests__/earlierRosters.test.ts
@@ -3,7 +3,12 @@
 import { describe, test } from 'node:test';
 import { create } from '@bufbuild/protobuf';
 import { loadHash } from '@marjorampin/membership';
-import { type Roster, RosterSchema, TurnRecordSchema } from '@marjorampin/protocol';
+import {
+  CopyHolderSchema,
+  type Roster,
+  RosterSchema,
+  TurnRecordSchema,
+} from '@marjorampin/protocol';
 import { StoreError } from '@marjorampin/store';
 import { Err, ManualClock, toCallError } from '@marjorampin/types';
 import { KeeperHandler } from '../keeperHandler';
@@ -116,6 +121,39 @@
   });
 });
 
+test(
+  'LOST: a keeper whose roster states its holders during a restoration copies from them, too',
+  { timeout: 30_000 },
+  async () => {
+    const cluster = new KeeperCluster();
+    try {
+      for (const id of ['a', 'b', 'c']) await cluster.start(id);
+      await cluster.untilRestored(['a', 'b', 'c']);
+      const stored = await cluster.store.get(ROSTER_KEY);
+      assert.ok(stored.ok && stored.val);
+      const version = stored.val.version + 1;
+      const roster = parseRoster(stored.val.value, version);
+      const { handler } = cluster.keepers.get('a')?.process as unknown as {
+        handler: KeeperHandler;
+      };
+      assert.ok(roster);
+      const missing = ['d', 'e'].map((id) =>
+        create(CopyHolderSchema, { id, disk: id, missingSinceMs: Date.now() }),
+      );
+      const holders = [...roster.holders, ...missing];
+      const whole = { minimumCopies: 2, wholeVersion: 1 };
+      handler.adopt(create(RosterSchema, { ...roster, holders: [], minimumCopies: 0 }));
+      handler.adopt(create(RosterSchema, { ...roster, ...whole, holders }));
+      assert.equal(handler.isComplete, false);
+      await sleep(2 * POLL_MS);
+      // Two disks can't be read, and one of them is needed.
+      assert.equal(handler.isComplete, false);
+    } finally {
+      await cluster.close();
+    }
+  },
+);
+
 test(
   'LOST: a roster that a keeper of an earlier version writes without the missing disks leads to no 404',
   { timeout: 60_000 },
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -120,6 +120,11 @@
     this.listeners.forEach((listener) => listener());
   }
 
+  /** Returns whether a roster was replaced by one of the same version, which states its holders. */
+  hasReplaced(roster: Roster): boolean {
+    return this.roster !== roster && this.roster?.version === roster.version;
+  }
+
   /** Returns a roster with its holders, as far as they are known; `replies` tell what keepers store. */
   completed(received: Roster, replies: Map<string, StoredData>): Roster {
     const { roster, preceding: known } = this;
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -197,7 +197,7 @@
     const { handler, peers } = this;
     if (!handler || !peers || this.isRestoring) return;
     this.isRestoring = true;
-    const { id, lossLimit, clock, log } = this.options;
+    const { id, lossLimit, clock } = this.options;
     while (!handler.isComplete && !this.isStopped) {
       const { roster } = handler;
       // Under a roster that lists the lost disk, other keepers still accept writes whose majority
@@ -219,9 +219,7 @@
       if (this.isStopped) break;
       const counts = { rosterVersion: roster.version, ...result };
       if (isRestored) {
-        await this.saveRestored(roster);
-        handler.markRestored(roster.version);
-        log.write('keeperRestored', { turns: this.table.size.turns, ...counts });
+        await this.finishRestoration(handler, roster, counts);
       } else {
         this.logIncomplete(counts);
         await clock.sleep(RESTORATION_RETRY_DELAY_MS);
@@ -230,6 +228,19 @@
     this.isRestoring = false;
   }
 
+  /** Records that all data is stored, unless the roster's holders were stated meanwhile: these may need more copies. */
+  private async finishRestoration(
+    handler: KeeperHandler,
+    roster: Roster,
+    counts: EventFields,
+  ): Promise<void> {
+    if (handler.hasReplaced(roster)) return;
+    await this.saveRestored(roster);
+    if (handler.hasReplaced(roster)) return;
+    handler.markRestored(roster.version);
+    this.options.log.write('keeperRestored', { turns: this.table.size.turns, ...counts });
+  }
+
   /** Logs what an incomplete restoration counted, once until it changes. */
   private logIncomplete(counts: EventFields): void {
     const text = JSON.stringify(counts);
