A turn whose write to the disk failed does not count as stored by its keeper

A keeper whose disk is full for a while counts a turn that it has in memory only: as a copy of a found turn, which another one then continues without a further write, as an ancestor that it needs not get, and as restored. After its restart and the loss of another disk, the turn is lost although one was answered that continues it.

Cause: a keeper updates its memory before its disk, and a failed write left no trace.

Fix: a keeper notes for which programs the last write of a turn failed, until one succeeds. Such a turn stays in memory and is found, but counts as missing, and is written with the next commit or copy that needs it.

Not covered: reservations, whose failed writes also stay in memory and are not written again by a repeated restoration.

--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -80,6 +80,9 @@
   /** Programs of the last commits of stored turns, with the clock times of their writes. */
   private readonly writes = new WeakMap<TurnRecord, { program: string; atMs: number }>();
 
+  /** Programs for which the last write of a stored turn failed: it is in memory only. */
+  private readonly unwritten = new WeakMap<TurnRecord, Set<string>>();
+
   private readonly listeners: (() => void)[] = [];
 
   /** Whether the roster was received with its holders. */
@@ -203,10 +206,10 @@
       }),
     );
     table.recordStart(program, -Infinity);
-    const needed = turns.filter((turn) => !table.holds(program, turn));
+    const needed = turns.filter((turn) => !this.isStored(program, turn));
     const known = table.records(needed);
     await this.storeTurns(program, known, remainingMs);
-    const absent = needed.filter((turn) => !table.holds(program, turn));
+    const absent = needed.filter((turn) => !this.isStored(program, turn));
     absent.forEach((turn) => {
       const programs = this.awaitingPrograms.get(turn) ?? new Set();
       this.awaitingPrograms.set(turn, programs.add(program));
@@ -251,9 +254,28 @@
     const { table, clock } = this.options;
     const expiresAtMs = clock.now() + retentionMs;
     records.forEach((record) => table.add(program, record, expiresAtMs));
-    await Promise.all(
-      records.map((value) => this.write({ case: 'record', value }, program, retentionMs)),
-    );
+    await Promise.all(records.map((record) => this.writeTurn(program, record, retentionMs)));
+  }
+
+  /** Writes a turn; one that can't be written is not stored, although it stays in memory. */
+  private async writeTurn(program: string, value: TurnRecord, retentionMs: number): Promise<void> {
+    const stored = this.options.table.record(value.turn) ?? value;
+    try {
+      await this.write({ case: 'record', value }, program, retentionMs);
+    } catch (error) {
+      const programs = this.unwritten.get(stored) ?? new Set();
+      this.unwritten.set(stored, programs.add(program));
+      throw error;
+    }
+    this.unwritten.get(stored)?.delete(program);
+  }
+
+  /** Returns whether a turn is stored for a program, and no write of it has failed since. */
+  private isStored(program: string, turn: string): boolean {
+    const { table } = this.options;
+    if (!table.holds(program, turn)) return false;
+    const record = table.record(turn);
+    return !record || !this.unwritten.get(record)?.has(program);
   }
 
   /** Returns whether all data assigned under `version` and under this keeper's roster is stored. A
@@ -297,7 +319,7 @@
     const chain = wantsChain && previous !== '' ? table.chain(previous) : [];
     const complete = this.isCompleteFor(rosterVersion);
     const acknowledged = table.isAcknowledged(previous);
-    const holdsPrevious = table.holds(program, previous);
+    const holdsPrevious = this.isStored(program, previous);
     const value = { others, chain, complete, programAgeMs, acknowledged, holdsPrevious };
     return { body: { case: 'reservations', value } };
   }
@@ -316,14 +338,14 @@
     table.acknowledge(request.acknowledgedTurns);
     const { program, turn, outputTokens, retentionMs } = record;
     table.settle(program, turn, outputTokens, clock.now() + retentionMs);
-    const lacking = record.ancestors.filter((ancestor) => !table.holds(program, ancestor));
+    const lacking = record.ancestors.filter((ancestor) => !this.isStored(program, ancestor));
     const sent = new Map(ancestors.map((ancestor) => [ancestor.turn, ancestor]));
     const added = lacking.flatMap((ancestor) => table.record(ancestor) ?? sent.get(ancestor) ?? []);
     const isWritten = this.isWritten(program, turn);
     await this.storeTurns(program, isWritten ? added : [...added, record], retentionMs);
     if (!isWritten) this.recordWrite(program, turn);
     const accepted = this.isCompleteFor(rosterVersion);
-    const missingTurns = lacking.filter((ancestor) => !table.holds(program, ancestor));
+    const missingTurns = lacking.filter((ancestor) => !this.isStored(program, ancestor));
     return { body: { case: 'acknowledgement', value: { accepted, missingTurns } } };
   }
 
