A caller that ends its side after more requests than are served gets the answers to those that are

What callers saw: of 16 requests that were passed on, one was answered, and the connection was closed, if the caller had sent more requests on the connection than are served and then ended its side (an answer cut).

The end of the connection is then an error of the parser, which was taken as that of a caller that leaves within a request.

Evidence: endlessRequests.test.ts, "ends its side", both cases: 1 of 16 answers before. The cases that wait past the header timeout passed before, too.

Fix: the end of a connection whose bytes are discarded cancels nothing; it closes after the last answer, as with other errors of the parser.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -253,8 +253,11 @@
     const { log, metrics, connections } = this.options;
     metrics.count('gateway_malformed_total', { code: error.code ?? 'unknown' });
     const hasLeft = error.code === 'ECONNRESET' || socket.bytesRead === 0;
-    // The end of a connection within a request cancels the ones before it.
-    const isCancelled = socket.readableEnded && connections.isAnswerDue(socket);
+    // The end of a connection within a request cancels the ones before it, unless the rest was discarded.
+    const isCancelled =
+      socket.readableEnded &&
+      connections.isAnswerDue(socket) &&
+      !this.discardedConnections.has(socket);
     if (!socket.writable || hasLeft || isCancelled) {
       socket.destroy();
       return;
