A keeper whose state can't be written after a restoration repeats it and does not end

A keeper whose disk is full at the end of a restoration (a changed roster is enough) ended by itself with an unhandled rejection; all keepers of a group may do so at once.

Cause: the restoration runs in the background, and nothing handled the failed write of the state.

Evidence: failedWrites.test.ts, "a keeper that cannot write its state after a restoration": an unhandled rejection before (the folder is missing for 0.5 s instead of full).

Fix: the failure is logged (diskFailed), and the restoration is repeated after the usual delay until the state can be written.

--- a/packages/turns/src/__tests__/failedWrites.test.ts
+++ b/packages/turns/src/__tests__/failedWrites.test.ts
@@ -1,4 +1,4 @@
-/** Turns that a keeper has in memory although the write to its disk failed. */
+/** Keepers whose writes to their disks fail for a while. */
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
@@ -14,9 +14,11 @@
 import { Err, ManualClock } from '@marjorampin/types';
 import { KeeperHandler } from '../keeperHandler';
 import { ProgramTable } from '../programTable';
+import { KeeperCluster } from './keeperCluster';
 
 const RETENTION_MS = 60_000;
 const VERSION = 1;
+const FULL_MS = 500;
 const hash = await loadHash();
 
 const recordOf = (turn: string, ancestors: string[] = []): TurnRecord =>
@@ -127,3 +129,28 @@
     });
   });
 });
+
+test(
+  'LOST: a keeper that cannot write its state after a restoration ends, or never restores',
+  { timeout: 30_000 },
+  async () => {
+    const cluster = new KeeperCluster();
+    try {
+      for (const id of ['a', 'b']) await cluster.start(id);
+      await cluster.untilRestored(['a', 'b']);
+      const { options } = cluster.keepers.get('a')?.process as unknown as {
+        options: { folder: string };
+      };
+      const { folder } = options;
+      options.folder = `${folder}/missing`;
+      await cluster.start('c');
+      await new Promise((resolve) => {
+        setTimeout(resolve, FULL_MS);
+      });
+      options.folder = folder;
+      await cluster.untilRestored(['a', 'b', 'c']);
+    } finally {
+      await cluster.close();
+    }
+  },
+);
--- a/packages/turns/src/keeperProcess.ts
+++ b/packages/turns/src/keeperProcess.ts
@@ -234,11 +234,19 @@
     roster: Roster,
     counts: EventFields,
   ): Promise<void> {
+    const { clock, log } = this.options;
     if (handler.hasReplaced(roster)) return;
-    await this.saveRestored(roster);
+    try {
+      await this.saveRestored(roster);
+    } catch (error) {
+      // A disk may be full for a while; the restoration is repeated.
+      log.write('diskFailed', { error: String(error), step: 'save the restoration' });
+      await clock.sleep(RESTORATION_RETRY_DELAY_MS);
+      return;
+    }
     if (handler.hasReplaced(roster)) return;
     handler.markRestored(roster.version);
-    this.options.log.write('keeperRestored', { turns: this.table.size.turns, ...counts });
+    log.write('keeperRestored', { turns: this.table.size.turns, ...counts });
   }
 
   /** Logs what an incomplete restoration counted, once until it changes. */
