--- a/packages/turns/src/groupClient.ts
+++ b/packages/turns/src/groupClient.ts
@@ -151,7 +151,8 @@
 
   /** Tells the keepers of a program with the next requests to them that a quorum stores a turn. */
   acknowledge(program: string, turn: string): void {
-    this.acknowledged.add(turn, this.groupOf(program));
+    // The turn is stored, even if no keeper is active any more.
+    this.acknowledged.add(turn, this.groups?.groupOf(program) ?? []);
   }
 
   /** Returns the keepers that share the rate limit of an endpoint; none before the first roster. */
