Turns end while keepers copy what a change of the roster has assigned to them

Cause: keepers refused the commit of a turn until they had restored under the newest roster, all at the same time. Change: an intact keeper takes commits under its own roster while it restores.

--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -287,6 +287,12 @@
 
   /** Returns a reply with this keeper's roster if the sender's is older, as reads under the newer
    * roster could miss the sender's writes; otherwise undefined. */
+  /** Returns whether a turn that this keeper has written counts as one of its copies: under its own roster,
+   * also while it copies what a change of the roster has assigned to it, as nobody asks it for proofs then. */
+  private mayAcknowledge(version: number): boolean {
+    return this.isIntact && this.roster?.version === version;
+  }
+
   private newerRosterReply(version: number): ReplyInit | undefined {
     if (!this.roster) {
       throw new CallError({
@@ -344,7 +350,7 @@
     const isWritten = this.isWritten(program, turn);
     await this.storeTurns(program, isWritten ? added : [...added, record], retentionMs);
     if (!isWritten) this.recordWrite(program, turn);
-    const accepted = this.isCompleteFor(rosterVersion);
+    const accepted = this.mayAcknowledge(rosterVersion);
     const missingTurns = lacking.filter((ancestor) => !this.isStored(program, ancestor));
     return { body: { case: 'acknowledgement', value: { accepted, missingTurns } } };
   }
