--- a/packages/turns/src/copyHolders.ts
+++ b/packages/turns/src/copyHolders.ts
@@ -53,9 +53,9 @@
 }
 
 /**
- * Returns how a holder counts by what its keeper states. A keeper that has not restored its data under
- * the last roster with all data acknowledged nothing since, and what was acknowledged before is on enough other
- * disks.
+ * Returns how a holder counts by what its keeper states. What was acknowledged before the last
+ * roster with all data is on enough other disks than that of a keeper that has not restored under it; what
+ * such a keeper has acknowledged since is copied from it before it counts.
  */
 export function holderState(
   holder: Pick<CopyHolder, 'disk'>,
--- a/packages/turns/src/keeperHandler.ts
+++ b/packages/turns/src/keeperHandler.ts
@@ -287,8 +287,8 @@
 
   /** Returns a reply with this keeper's roster if the sender's is older, as reads under the newer
    * roster could miss the sender's writes; otherwise undefined. */
-  /** Returns whether a turn that this keeper has written counts as one of its copies: under its own roster,
-   * also while it copies what a change of the roster has assigned to it, as nobody asks it for proofs then. */
+  /** Returns whether a turn that this keeper has written counts as one of its copies. It does during a
+   * restoration, too: only proofs of absence and budgets need all data. */
   private mayAcknowledge(version: number): boolean {
     return this.isIntact && this.roster?.version === version;
   }
