--- a/review/tools-2/deployment.ts
+++ b/review/tools-2/deployment.ts
@@ -1,5 +1,5 @@
 /* eslint-disable @stylistic/object-curly-newline, @stylistic/implicit-arrow-linebreak, @stylistic/function-paren-newline, @stylistic/nonblock-statement-body-position, @stylistic/max-len, curly -- formatted by Prettier */
-/* eslint-disable no-await-in-loop, @typescript-eslint/no-use-before-define, n/no-sync, n/no-unsupported-features/node-builtins -- as in packages/, platform/ and soak/ */
+/* eslint-disable no-await-in-loop, @typescript-eslint/no-use-before-define, n/no-sync, n/no-process-exit, no-console, n/no-unsupported-features/node-builtins -- as in packages/, platform/ and soak/ */
 /** A small deployment on loopback addresses: the project's processes, the store and the runners. */
 import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
@@ -50,6 +50,9 @@
   process.exit(2);
 });
 
+// Ends the processes of the deployment, too.
+['SIGTERM', 'SIGINT'].forEach((signal) => process.once(signal, () => process.exit(2)));
+
 export class Deployment {
   readonly store = new Store();
 
@@ -86,7 +89,10 @@
       ...hostsOf('keeper', keepers, keeperMemoryMb),
       ...hostsOf('entry', entries, entryMemoryMb),
     ];
-    process.once('exit', () => this.hosts.forEach(({ child }) => child?.kill('SIGKILL')));
+    process.once('exit', () => {
+      this.hosts.forEach(({ child }) => child?.kill('SIGKILL'));
+      rmSync(this.folder, { recursive: true, force: true });
+    });
   }
 
   get entries(): Host[] {
@@ -144,7 +150,6 @@
     this.hosts.forEach(({ child }) => child?.kill('SIGKILL'));
     this.runners.forEach((runner) => runner.close());
     this.store.close();
-    setTimeout(() => rmSync(this.folder, { recursive: true, force: true }), 300);
   }
 
   private run(host: Host): void {
